Send unfinished requests and idle client connections away in time

A connection that never brought a whole request kept one of the client slots for 10 s, an idle one for 2 minutes, and a body that stopped coming held its answer until the class's deadline, or for ever where nobody read the body.

--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -26,21 +26,25 @@
 	most    int // requests open at once, and connections past which none is kept
 	open    atomic.Int64
 	classes map[string]int
+	body    time.Duration // within which a request's body must come, after its header
 
 	mu     sync.Mutex
 	conns  int
 	silent map[net.Conn]bool // have not sent a request yet
 }
 
+// Anyone may connect, and a peer that sends no whole request is owed an error or a close within
+// 3 s of connecting. A connection that stands open without a request may be closed after 2 s; it
+// holds one of the few descriptors, so it is closed soon after.
 const (
-	headerTimeout = 10 * time.Second // for a client that opens a connection and sends nothing
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 32 << 10
+	quietTimeout = 2200 * time.Millisecond // for the next request's header to come whole
+	bodyTimeout  = 600 * time.Millisecond  // and then its body: proper clients send both in one go
+	maxHeader    = 32 << 10
 )
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
 	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.Sockets), classes: map[string]int{},
-		silent: map[net.Conn]bool{}}
+		body: bodyTimeout, silent: map[net.Conn]bool{}}
 	if cfg.Site.MaxOpen > 0 {
 		f.most = min(f.most, cfg.Site.MaxOpen)
 	}
@@ -49,10 +53,10 @@
 	}
 	f.server = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: quietTimeout,
+		IdleTimeout:       quietTimeout,
 		// No ReadTimeout: it would go on running while the answer is awaited and pass for a hang-up.
-		WriteTimeout:   2*cfg.longest() + headerTimeout,
+		WriteTimeout:   2*cfg.longest() + quietTimeout,
 		MaxHeaderBytes: maxHeader,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState:      f.track,
@@ -92,6 +96,13 @@
 
 // ServeHTTP takes one request. There is no mux: it would answer unclean paths with redirects.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	if hr.ContentLength != 0 {
+		// Also for a body that nobody reads: net/http waits for it before it writes the answer.
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.body)); err != nil {
+			http.Error(w, "can't read the body", http.StatusInternalServerError)
+			return
+		}
+	}
 	if hr.URL.Path == "/_health" {
 		status := http.StatusOK
 		if !f.loop.ready.Load() {
@@ -194,7 +205,7 @@
 		}
 		r.work = time.Duration(us * float64(time.Microsecond))
 	}
-	body, fail := f.readBody(w, hr, settings.Deadline)
+	body, fail := f.readBody(w, hr)
 	if fail != nil {
 		return nil, fail
 	}
@@ -217,18 +228,13 @@
 	return r, nil
 }
 
-func (f *front) readBody(w http.ResponseWriter, hr *http.Request, within time.Duration) ([]byte, *inputError) {
+func (f *front) readBody(w http.ResponseWriter, hr *http.Request) ([]byte, *inputError) {
 	if hr.ContentLength == 0 {
 		return nil, nil
 	}
-	// A body that stops coming must not hold the connection for ever.
-	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(time.Now().Add(within)); err != nil {
-		return nil, &inputError{http.StatusInternalServerError, "can't read the body"}
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
-	if err == nil {
-		err = rc.SetReadDeadline(time.Time{})
+	if err == nil { // a deadline that runs on would pass for a hang-up
+		err = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	var large *http.MaxBytesError
 	switch {
