Answer requests with two lengths or HTTP/1.0 with an error and read no further

net/http takes Transfer-Encoding and drops a Content-Length beside it, so what stood inside such a body was taken for the next request and sent on. The front now reads along, answers such a request with 400 and closes; a connection is also closed after any bad request and after a body in chunks, and HTTP/1.0, whose Transfer-Encoding net/http ignores, gets 505.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,7 +92,7 @@
 		running.Go(func() { a.loop.peers.run(ctx, a.loop.post) })
 	}
 	served := make(chan error, 1)
-	go func() { served <- a.front.server.Serve(a.listener) }()
+	go func() { served <- a.front.serve(a.listener) }()
 	a.log.Info("serving", "listen", a.listener.Addr().String(), "backends", known)
 	select {
 	case err := <-served:
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -60,10 +61,18 @@
 		MaxHeaderBytes: maxHeader,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState:      f.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, framedKey{}, c)
+		},
 	}
 	return f
 }
 
+type framedKey struct{}
+
+// serve takes connections until the server is shut down.
+func (f *front) serve(l net.Listener) error { return f.server.Serve(framedListener{l}) }
+
 // track counts connections as they come and go.
 func (f *front) track(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
@@ -114,7 +123,15 @@
 	if f.crowded() {
 		w.Header().Set("Connection", "close") // too many are kept: let this one go after its answer
 	}
-	r, err := f.parse(w, hr)
+	err := checkFraming(hr)
+	var r *request
+	if err == nil {
+		r, err = f.parse(w, hr)
+	}
+	if err != nil || len(hr.TransferEncoding) > 0 {
+		// Where this request ended may be in doubt: what follows on its connection is not read.
+		w.Header().Set("Connection", "close")
+	}
 	if err != nil {
 		http.Error(w, err.text, err.status)
 		return
@@ -165,6 +182,17 @@
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "X-Expires-In"}
 
+// checkFraming tells requests whose end is in doubt.
+func checkFraming(hr *http.Request) *inputError {
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok && c.ambiguous.Load() {
+		return bad("both Content-Length and Transfer-Encoding")
+	}
+	if !hr.ProtoAtLeast(1, 1) { // net/http ignores its Transfer-Encoding, whatever body that announces
+		return &inputError{http.StatusHTTPVersionNotSupported, "this takes HTTP/1.1"}
+	}
+	return nil
+}
+
 // parse reads a request whole and checks it.
 func (f *front) parse(w http.ResponseWriter, hr *http.Request) (*request, *inputError) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(hr.URL.Path, "/"), "/")
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,7 +41,7 @@
 	f := newFront(cfg, l, quiet)
 	ln := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
 	served := make(chan error, 1)
-	go func() { served <- f.server.Serve(ln) }()
+	go func() { served <- f.serve(ln) }()
 	t.Cleanup(func() { f.server.Close(); <-served })
 	return f, func() net.Conn {
 		near, far := net.Pipe()
@@ -108,3 +111,79 @@
 		}
 	})
 }
+
+// What stands inside a request's body, by either way to tell where the body ends, is never taken
+// for a request of its own.
+func TestRequestInsideABody(t *testing.T) {
+	const inner = "POST /pay/inner HTTP/1.1\r\nHost: a\r\nX-Trace-Id: inner%d\r\nContent-Length: 0\r\n\r\n"
+	s := serveRaw(t, func(int) string { return ok200 })
+	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	for i, row := range []struct {
+		head, before string
+		served       bool // the outer request
+	}{
+		{"HTTP/1.1\r\nContent-Length: 200\r\nTransfer-Encoding: chunked", "0\r\n\r\n", false},
+		{"HTTP/1.1\r\ntransfer-encoding: chunked\r\ncontent-length: 200", "0\r\n\r\n", false},
+		{"HTTP/1.1\r\nTransfer-Encoding:\r\n chunked\r\nContent-Length: 200", "0\r\n\r\n", false},
+		{"HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked", "5f\r\n", false},
+		{"HTTP/1.1\r\nTransfer-Encoding: chunked", "0\r\n\r\n", true},
+	} {
+		t.Run(row.head, func(t *testing.T) {
+			c, err := net.Dial("tcp", a.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			body := row.before + fmt.Sprintf(inner, i)
+			if _, err := fmt.Fprintf(c, "POST /pay/x %s\r\nHost: a\r\nX-Trace-Id: outer%d\r\n\r\n%s%s", row.head, i, body,
+				strings.Repeat("x", max(0, 200-len(body)))); err != nil {
+				t.Fatal(err)
+			}
+			in := bufio.NewReader(c)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := resp.StatusCode; row.served && got != 200 || !row.served && (got == 200 || got == 429 || got == 503) {
+				t.Errorf("status %d", got)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Fatal(err)
+			}
+			if next, err := http.ReadResponse(in, nil); err == nil {
+				t.Errorf("a second answer: %+v", next)
+			}
+			if row.served {
+				receive(t, "outer request", s.seen)
+			}
+			if len(s.seen) != 0 {
+				t.Errorf("%q reached the backend", <-s.seen)
+			}
+		})
+	}
+}
+
+// A header comes in pieces of any size, and bodies that look like headers are bodies.
+func TestFramingInPieces(t *testing.T) {
+	plain := "\r\nPOST /a HTTP/1.1\r\nContent-Length: 31\r\n\r\nTransfer-Encoding: chunked\r\n\r\nx" +
+		"POST /b HTTP/1.1\r\nX-Long: " + strings.Repeat("Transfer-Encoding:", 40) + "\nContent-Length: 0\n\n"
+	both := "POST /c HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for size := 1; size < len(plain); size++ {
+		var c framedConn
+		for part := range slices.Chunk([]byte(plain), size) {
+			c.follow(part)
+		}
+		if c.ambiguous.Load() || c.chunked {
+			t.Fatalf("in pieces of %d: taken for ambiguous", size)
+		}
+		for part := range slices.Chunk([]byte(both), size) {
+			c.follow(part)
+		}
+		if !c.ambiguous.Load() {
+			t.Fatalf("in pieces of %d: not taken for ambiguous", size)
+		}
+	}
+}
