Make room for new clients while silent connections hold every slot

With all client slots taken, the listener waited for time-outs to free one while proper clients stood behind rude peers in the kernel's queue (450 deep). It now asks the front for room, which closes the connection that has waited longest, 150 ms at least, for its first whole request, or else the one idle longest.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -65,7 +65,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	a.listener = newLimitListener(ln, sharedSockets(cfg.Sockets)-backendSockets(cfg.Sockets))
+	limited := newLimitListener(ln, sharedSockets(cfg.Sockets)-backendSockets(cfg.Sockets))
+	limited.full = a.front.makeRoom
+	a.listener = limited
 	return a, nil
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -923,6 +923,13 @@
 // The listener takes no connection past its limit until another is closed.
 func TestLimitListener(t *testing.T) {
 	l := newLimitListener(listen(t).(*net.TCPListener), 1)
+	asked := make(chan struct{}, 1)
+	l.full = func() {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+	}
 	got := make(chan net.Conn, 2)
 	ended := make(chan error, 1)
 	go func() {
@@ -943,6 +950,7 @@
 		defer c.Close()
 	}
 	one := receive(t, "first connection", got)
+	receive(t, "call for room", asked)
 	if len(l.slots) != 1 || len(got) != 0 {
 		t.Errorf("%d connections past the limit", len(got))
 	}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -29,9 +29,16 @@
 	classes map[string]int
 	body    time.Duration // within which a request's body must come, after its header
 
-	mu     sync.Mutex
-	conns  int
-	silent map[net.Conn]bool // have not sent a request yet
+	mu      sync.Mutex
+	conns   int
+	silent  map[net.Conn]bool      // have not sent a byte yet
+	waiting map[net.Conn]waitingIn // have no whole request open
+}
+
+// waitingIn is a connection that waits for a request.
+type waitingIn struct {
+	since time.Time
+	first bool // none has come whole yet
 }
 
 // Anyone may connect, and a peer that sends no whole request is owed an error or a close within
@@ -41,11 +48,15 @@
 	quietTimeout = 2200 * time.Millisecond // for the next request's header to come whole
 	bodyTimeout  = 600 * time.Millisecond  // and then its body: proper clients send both in one go
 	maxHeader    = 32 << 10
+
+	// While more want to connect than there are slots, a connection that has waited for so long
+	// gives way: proper clients send their request at once.
+	leastWait = 150 * time.Millisecond
 )
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
 	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.Sockets), classes: map[string]int{},
-		body: bodyTimeout, silent: map[net.Conn]bool{}}
+		body: bodyTimeout, silent: map[net.Conn]bool{}, waiting: map[net.Conn]waitingIn{}}
 	if cfg.Site.MaxOpen > 0 {
 		f.most = min(f.most, cfg.Site.MaxOpen)
 	}
@@ -81,12 +92,45 @@
 	switch s {
 	case http.StateNew:
 		f.silent[c] = true
+		f.waiting[c] = waitingIn{time.Now(), true}
 		f.conns++
+	case http.StateIdle:
+		f.waiting[c] = waitingIn{since: time.Now()}
 	case http.StateClosed:
+		delete(f.waiting, c)
 		f.conns--
 	}
 }
 
+// takes notes that a request has come whole on a connection. It reports false where the connection
+// has been closed to make room: its client is told nothing, and nothing of it may be sent on.
+func (f *front) takes(c net.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, open := f.waiting[c]
+	delete(f.waiting, c)
+	return open
+}
+
+// makeRoom closes the connection that has waited longest for its first whole request, or, where
+// all have sent one, the one idle longest: whoever connects and sends nothing must not keep out
+// those who would.
+func (f *front) makeRoom() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldest net.Conn
+	for c, w := range f.waiting {
+		if o := f.waiting[oldest]; oldest == nil || w.first && !o.first || w.first == o.first && w.since.Before(o.since) {
+			oldest = c
+		}
+	}
+	if oldest == nil || time.Since(f.waiting[oldest].since) < leastWait {
+		return
+	}
+	delete(f.waiting, oldest)
+	oldest.Close()
+}
+
 // crowded reports whether more connections are open than are to be kept.
 func (f *front) crowded() bool {
 	f.mu.Lock()
@@ -136,6 +180,9 @@
 		http.Error(w, err.text, err.status)
 		return
 	}
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok && !f.takes(c) {
+		panic(http.ErrAbortHandler)
+	}
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
 	if f.open.Add(1) > int64(f.most) {
 		f.open.Add(-1)
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -187,3 +189,65 @@
 		}
 	}
 }
+
+// While others want to connect, the connection that has waited longest for its first request gives
+// way, then the one idle longest; never one with a request open, nor one that has only just come.
+func TestMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, dial := frontAt(t, testConfig(t, setup{}))
+		go func() { // in place of the module: never answers
+			for range f.loop.events {
+			}
+		}()
+		defer close(f.loop.events)
+		f.loop.ready.Store(true)
+		open := func(c net.Conn) bool {
+			err := c.SetReadDeadline(time.Now().Add(time.Nanosecond))
+			if err == nil {
+				_, err = c.Read(make([]byte, 1))
+			}
+			return errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		idle := dial()
+		if _, err := io.WriteString(idle, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if resp, err := http.ReadResponse(bufio.NewReader(idle), nil); err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+		busy, slow := dial(), dial()
+		if _, err := io.WriteString(busy, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(slow, "GET /get/x HTTP/1.1\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		f.makeRoom()
+		if synctest.Wait(); !open(slow) || !open(idle) {
+			t.Fatal("closed one that has only just come")
+		}
+		time.Sleep(leastWait)
+		fresh := dial()
+		synctest.Wait()
+		f.makeRoom()
+		if synctest.Wait(); open(slow) || !open(idle) || !open(busy) || !open(fresh) {
+			t.Error("not the unfinished one was closed")
+		}
+		f.makeRoom()
+		if synctest.Wait(); !open(fresh) || !open(idle) {
+			t.Error("an idle one was closed while another had yet to send its first request")
+		}
+		fresh.Close()
+		synctest.Wait()
+		f.makeRoom()
+		if synctest.Wait(); open(idle) || !open(busy) {
+			t.Error("not the idle one was closed")
+		}
+		f.makeRoom()
+		if synctest.Wait(); !open(busy) {
+			t.Error("one with a request open was closed")
+		}
+		close(f.loop.stopped)
+	})
+}
--- a/internal/agent/sockets.go
+++ b/internal/agent/sockets.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // The file descriptors of the process are shared out here: a fixed part for its own files,
@@ -35,17 +36,19 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	full   func() // asked for a slot while none is free; may be nil
 }
 
+// askAgain is how often, while none is given back.
+const askAgain = 20 * time.Millisecond
+
 func newLimitListener(l *net.TCPListener, most int) *limitListener {
 	return &limitListener{TCPListener: l, slots: make(chan struct{}, most), closed: make(chan struct{})}
 }
 
 func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+	if err := l.slot(); err != nil {
+		return nil, err
 	}
 	c, err := l.AcceptTCP()
 	if err != nil {
@@ -55,6 +58,29 @@
 	return &limitedConn{TCPConn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
+// slot waits for a free slot and takes it.
+func (l *limitListener) slot() error {
+	select {
+	case l.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	ask := time.NewTicker(askAgain)
+	defer ask.Stop()
+	for {
+		if l.full != nil {
+			l.full()
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return nil
+		case <-l.closed:
+			return net.ErrClosed
+		case <-ask.C:
+		}
+	}
+}
+
 func (l *limitListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.TCPListener.Close()
