Let health checks keep no connection and idle ones give way past new ones

Each health check left an idle connection that kept its slot for 2.2 s, about 180 in a burst, and room was not made while the silent connection chosen was too new, though idle ones stood by.

--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -112,23 +112,25 @@
 	return open
 }
 
-// makeRoom closes the connection that has waited longest for its first whole request, or, where
-// all have sent one, the one idle longest: whoever connects and sends nothing must not keep out
-// those who would.
+// makeRoom closes one connection of those that have waited for a while: the one that has waited
+// longest for its first whole request, or, where all have sent one, the one idle longest. Whoever
+// connects and sends nothing must not keep out those who would.
 func (f *front) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var oldest net.Conn
 	for c, w := range f.waiting {
+		if time.Since(w.since) < leastWait {
+			continue
+		}
 		if o := f.waiting[oldest]; oldest == nil || w.first && !o.first || w.first == o.first && w.since.Before(o.since) {
 			oldest = c
 		}
 	}
-	if oldest == nil || time.Since(f.waiting[oldest].since) < leastWait {
-		return
+	if oldest != nil {
+		delete(f.waiting, oldest)
+		oldest.Close()
 	}
-	delete(f.waiting, oldest)
-	oldest.Close()
 }
 
 // crowded reports whether more connections are open than are to be kept.
@@ -157,6 +159,7 @@
 		}
 	}
 	if hr.URL.Path == "/_health" {
+		w.Header().Set("Connection", "close") // whoever asks in numbers must not keep clients out
 		status := http.StatusOK
 		if !f.loop.ready.Load() {
 			status = http.StatusServiceUnavailable
