--- a/brookferry.go
+++ b/brookferry.go
@@ -571,7 +571,13 @@
 			b.write(note{t.key, noteLate, b.now})
 		}
 	case Errored, ConnectFailed, Reset:
-		t.down = t.down || e.Result != Errored
+		// A process that dies breaks all that is out there at once and refuses what comes next. One
+		// attempt that breaks by itself, or whose answer can't be read, tells of no death.
+		died := e.Result == Reset && t.brokeAt == b.now && len(t.out) == 0
+		if e.Result == Reset {
+			t.brokeAt = b.now
+		}
+		t.down = t.down || died || e.Result == ConnectFailed
 		b.strike(t, a, c)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -37,7 +37,8 @@
 	struckAt, fullTill, lastOK time.Duration
 	warmFrom                   time.Duration // when its latest start became known or seen
 	seen                       bool          // has answered this balancer since then
-	down                       bool          // connections failed or broke since the last answer
+	down                       bool          // its process seems to have died since the last answer
+	brokeAt                    time.Duration // when an attempt there last broke
 	cold                       bool
 	budget                     float64 // work that may be sent while it is cold
 	budgetAt                   time.Duration
