Take one broken answer for no restart of the backend

After any reset or unreadable answer the next success made the backend count as freshly started, at a share of its capacity for 24 s. Now a refused connection, or all attempts there breaking within a tick, tells of a death.

--- a/brookferry.go
+++ b/brookferry.go
@@ -573,7 +573,7 @@
 	case Errored, ConnectFailed, Reset:
 		// A process that dies breaks all that is out there at once and refuses what comes next. One
 		// attempt that breaks by itself, or whose answer can't be read, tells of no death.
-		died := e.Result == Reset && t.brokeAt == b.now && len(t.out) == 0
+		died := e.Result == Reset && b.now-t.brokeAt <= b.s.Tick && len(t.out) == 0
 		if e.Result == Reset {
 			t.brokeAt = b.now
 		}
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -713,33 +713,56 @@
 	}
 }
 
-// A backend that comes back before the list tells counts as cold.
-func TestRevivalIsCold(t *testing.T) {
+// shareAfter drives a balancer with three backends until a is sent n requests at once, ends these
+// with res and in one tick, and returns how many of 200 requests a gets after a while.
+func shareAfter(t *testing.T, n int, res brookferry.Result) int {
+	t.Helper()
 	r := newRig(t, settings(), 3, backends(3))
 	r.serve(60, safe, 20*ms)
-	for i := 0; ; i++ {
+	var out []string
+	for i := 0; len(out) < n; i++ {
 		id := fmt.Sprint("d", i)
 		r.request(id, safe)
-		r.now += 20 * ms
 		if r.sent[id][0] == "a" {
-			r.outcome(id, brookferry.ConnectFailed, 20*ms)
-			break
+			out = append(out, id)
+		}
+	}
+	r.now += 20 * ms
+	for _, id := range out {
+		r.outcome(id, res, 20*ms)
+	}
+	for i := range len(r.sent) {
+		if id := fmt.Sprint("d", i); len(r.sent[id]) > 0 && r.sent[id][0] != "a" {
+			r.outcome(id, brookferry.OK, 20*ms)
 		}
-		r.outcome(id, brookferry.OK, 20*ms)
 	}
 	r.advance(2 * time.Second)
-	seen := 0
-	for i := range 200 {
-		id := fmt.Sprint("r", i)
-		r.request(id, safe)
-		r.now += 20 * ms
-		r.outcome(id, brookferry.OK, 20*ms)
-		if r.sent[id][0] == "a" {
-			seen++
+	for _, id := range out { // those that were sent again
+		if len(r.sent[id]) > 1 {
+			r.outcome(id, brookferry.OK, 20*ms)
+		}
+	}
+	return r.serve(200, safe, 20*ms)["a"]
+}
+
+// A backend that comes back before the list tells counts as cold. One that died refuses
+// connections, or breaks all that is out there at once.
+func TestRevivalIsCold(t *testing.T) {
+	for name, seen := range map[string]int{
+		"refused":        shareAfter(t, 1, brookferry.ConnectFailed),
+		"all broke once": shareAfter(t, 3, brookferry.Reset),
+	} {
+		if seen == 0 || seen > 35 {
+			t.Errorf("%s: after its return it got %d of 200, want a cold backend's share", name, seen)
 		}
 	}
-	if seen == 0 || seen > 35 {
-		t.Errorf("after its return it got %d of 200, want a cold backend's share", seen)
+}
+
+// Ticket 397: one attempt that breaks, or whose answer can't be read, is no sign of a restart.
+// Backends taken for cold, one after the other, left no capacity within seconds.
+func TestOneBrokenAnswerIsNoRestart(t *testing.T) {
+	if seen := shareAfter(t, 1, brookferry.Reset); seen < 45 {
+		t.Errorf("after one broken answer it got %d of 200, want about a third", seen)
 	}
 }
 
