--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -55,6 +55,7 @@
 	addrs map[string]string  // by backend id
 	idle  map[string][]*conn // by backend id, the latest used last
 	open  int                // idle, in use or being dialled
+	reuse reuse
 }
 
 // conn is one connection. It carries one request at a time.
@@ -62,7 +63,8 @@
 	*http.ClientConn
 	net   *countedConn
 	addr  string
-	since time.Time // idle since then
+	since time.Time     // idle since then
+	idle  time.Duration // before its present use; 0: new
 }
 
 func newBackends(cfg *Config, log *slog.Logger) *backends {
@@ -178,7 +180,8 @@
 	for n := len(b.idle[id]); n > 0; n = len(b.idle[id]) {
 		c := b.idle[id][n-1]
 		b.idle[id] = b.idle[id][:n-1]
-		if c.Err() == nil && time.Since(c.since) < b.keepIdle {
+		if b.usable(c) {
+			c.idle = time.Since(c.since)
 			return c, addr, nil
 		}
 		b.drop(c)
@@ -190,6 +193,19 @@
 	return nil, addr, nil
 }
 
+// usable reports whether an idle connection may carry a request. The lock is held.
+func (b *backends) usable(c *conn) bool {
+	idle := time.Since(c.since)
+	return c.Err() == nil && idle < b.keepIdle && !b.reuse.doubtful(idle)
+}
+
+// learn takes whether the connection broke under its request before any answer.
+func (b *backends) learn(c *conn, broken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reuse.learn(c.idle, broken)
+}
+
 // evict closes the connection that has been idle longest, whosever it is.
 func (b *backends) evict() bool {
 	var oldest string
@@ -220,7 +236,8 @@
 
 // reap closes what has been idle for too long, until ctx ends.
 func (b *backends) reap(ctx context.Context) {
-	tick := time.NewTicker(b.keepIdle / 8)
+	every := b.keepIdle / 8
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
@@ -229,10 +246,11 @@
 		case <-tick.C:
 		}
 		b.mu.Lock()
+		b.reuse.fade(every)
 		for id, list := range b.idle {
 			kept := list[:0]
 			for _, c := range list {
-				if c.Err() == nil && time.Since(c.since) < b.keepIdle {
+				if b.usable(c) {
 					kept = append(kept, c)
 				} else {
 					b.drop(c)
@@ -299,8 +317,11 @@
 	// send it again by itself on a stale connection, unasked and uncounted.
 	resp, err := c.RoundTrip(req)
 	if err != nil {
-		return b.broken(ctx, id, c), nil, none
+		result := b.broken(ctx, id, c)
+		b.learn(c, result == brookferry.Reset || result == brookferry.ConnectFailed)
+		return result, nil, none
 	}
+	b.learn(c, false)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	resp.Body.Close()
 	if err != nil {
