Make an attempt anew when its kept connection died before the request was written

A kept connection that had broken unseen was told to the module as a failed connect, by which it takes the backend for dead and then cold; the request had not been written whole, so nothing had run. Also a connection taken and not used keeps its age.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -386,6 +388,64 @@
 	}
 }
 
+// dyingConn stands for a connection that breaks while it is idle, unseen.
+type dyingConn struct {
+	net.Conn
+	dead *atomic.Bool
+}
+
+func (c dyingConn) Write(p []byte) (int, error) {
+	if c.dead.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.Conn.Write(p)
+}
+
+// Ticket 8488: a kept connection that turns out dead before the request is written whole is no
+// failed connect. The attempt goes out on a new one, once.
+func TestDeadKeptConnectionIsNoFailedConnect(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	b := poolFor(t, s.addr)
+	var dead atomic.Bool
+	dial, dials := b.transport.DialContext, 0
+	b.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if dials++; err == nil && dials == 1 {
+			counted := c.(*countedConn)
+			counted.Conn = dyingConn{counted.Conn, &dead}
+		}
+		return c, err
+	}
+	if result, _, _ := attemptAt(t, b, context.Background(), "one"); result != brookferry.OK {
+		t.Fatalf("first: %v", result)
+	}
+	dead.Store(true)
+	if result, _, _ := attemptAt(t, b, context.Background(), "two"); result != brookferry.OK || dials != 2 {
+		t.Errorf("second: %v after %d dials", result, dials)
+	}
+	if n := len(s.seen); n != 2 {
+		t.Errorf("%d requests reached the backend, 2 were asked for", n)
+	}
+	if b.open != 1 {
+		t.Errorf("%d connections counted as open", b.open)
+	}
+}
+
+// A request that ended before anything was sent leaves its connection as old as it was: the
+// backend has seen nothing on it since.
+func TestUnusedConnectionKeepsItsAge(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	b := poolFor(t, s.addr)
+	attemptAt(t, b, context.Background(), "")
+	since := b.idle["s"][0].since
+	over := make(chan struct{})
+	close(over)
+	r, _, _ := b.attempt(context.Background(), over, "s", &message{method: "GET", url: &url.URL{Path: "/get/x"}, header: http.Header{}})
+	if r != brookferry.NotSent || len(b.idle["s"]) != 1 || b.idle["s"][0].since != since {
+		t.Errorf("result %v, %d idle", r, len(b.idle["s"]))
+	}
+}
+
 // net/http's Transport sends a request again by itself when a reused connection turns out to be
 // dead, also a POST that carries Idempotency-Key. That would be an attempt the module never
 // asked for. Here the first request leaves a connection, which the backend closes without an
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -181,7 +181,7 @@
 		c := b.idle[id][n-1]
 		b.idle[id] = b.idle[id][:n-1]
 		if b.usable(c) {
-			c.idle = time.Since(c.since)
+			c.idle = max(1, time.Since(c.since))
 			return c, addr, nil
 		}
 		b.drop(c)
@@ -230,7 +230,6 @@
 		b.drop(c)
 		return
 	}
-	c.since = time.Now()
 	b.idle[id] = append(b.idle[id], c)
 }
 
@@ -275,36 +274,49 @@
 		b.mu.Unlock()
 		return nil, err
 	}
-	return &conn{ClientConn: cc, net: slot.conn, addr: addr}, nil
+	return &conn{ClientConn: cc, net: slot.conn, addr: addr, since: time.Now()}, nil
 }
 
 // attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
 // the protocol's table of outcomes; where it is not certain that nothing ran, it says so. Once
 // over is closed the request has ended, and nothing more is sent for it.
 func (b *backends) attempt(ctx context.Context, over <-chan struct{}, id string, m *message) (brookferry.Result, *answer, brookferry.Load) {
-	none := wire.Load(nil)
-	c, addr, err := b.take(id)
-	if err == nil && c == nil {
-		c, err = b.dial(ctx, addr)
-	}
-	if err != nil {
-		if errors.Is(err, errNoSocket) {
-			b.log.Warn("attempt not sent", "error", err, "backend", id)
+	for {
+		c, addr, err := b.take(id)
+		if err == nil && c == nil {
+			c, err = b.dial(ctx, addr)
 		}
-		if errors.Is(context.Cause(ctx), errCancelled) {
-			return brookferry.Cancelled, nil, none
+		if err != nil {
+			if errors.Is(err, errNoSocket) {
+				b.log.Warn("attempt not sent", "error", err, "backend", id)
+			}
+			if errors.Is(context.Cause(ctx), errCancelled) {
+				return brookferry.Cancelled, nil, wire.Load(nil)
+			}
+			return brookferry.ConnectFailed, nil, wire.Load(nil)
+		}
+		select {
+		case <-over: // while the connection was being opened
+			b.give(id, c, true)
+			return brookferry.NotSent, nil, wire.Load(nil)
+		default:
+		}
+		reused := c.idle > 0
+		result, answer, load := b.send(ctx, id, c, m)
+		// A kept connection that had died before the request was written whole tells nothing of
+		// whether the backend can be reached, and nothing has run: the attempt is still to be made.
+		if result != brookferry.ConnectFailed || !reused {
+			return result, answer, load
 		}
-		return brookferry.ConnectFailed, nil, none
-	}
-	select {
-	case <-over: // while the connection was being opened
-		b.give(id, c, true)
-		return brookferry.NotSent, nil, none
-	default:
 	}
+}
+
+// send writes m on a connection, once, and waits for the answer.
+func (b *backends) send(ctx context.Context, id string, c *conn, m *message) (brookferry.Result, *answer, brookferry.Load) {
+	none := wire.Load(nil)
 	c.net.begin()
 	u := *m.url
-	u.Scheme, u.Host = "http", addr
+	u.Scheme, u.Host = "http", c.addr
 	req := (&http.Request{Method: m.method, URL: &u, Header: m.header.Clone(), Host: m.host,
 		ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}).WithContext(ctx)
 	if len(m.body) > 0 {
@@ -327,6 +339,7 @@
 	if err != nil {
 		return b.broken(ctx, id, c), nil, none
 	}
+	c.since = time.Now()
 	b.give(id, c, !resp.Close && len(body) <= maxBody)
 	load := none
 	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" && b.cfg.Site.LoadInline {
