Let what cold backends serve count for their budgets

A cold backend's budget was set by what warm ones served. Where none is warm that fades to nothing: all is refused until the stated ramp is over. Served work now counts over the warmth of who served it, with one request at a time of all agents together as the least.

--- a/brookferry.go
+++ b/brookferry.go
@@ -82,11 +82,11 @@
 	stuck    int     // of these, on backends that are not counted in capacity
 	perBack  float64 // attempts that all agents may have in flight together, per backend that is up
 	share    float64 // this agent's part of them
-	up, warm int     // backends that the list says are up, and those of them that are not cold
+	up       int     // backends that the list says are up
 	capacity float64 // their number, each counted by its warmth
 	delay    float64 // running mean of latency over aim
 
-	doneWork                float64 // decayed work that warm backends served
+	doneWork                float64 // decayed work served, that of a cold backend over its warmth
 	cutAt, doneAt, demandAt time.Duration
 	askFails                int
 	askToken                int64
@@ -535,9 +535,7 @@
 			b.start(t, b.now)
 		}
 		t.down = false
-		if !t.cold {
-			b.doneWork = b.decayed() + a.cost
-		}
+		b.doneWork = b.decayed() + a.cost/b.warmth(t)
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
 		t.seen = true
@@ -677,14 +675,11 @@
 
 // measure sums up what the backends that are up, and not ejected or down, can do.
 func (b *Balancer) measure() {
-	b.up, b.warm, b.capacity, b.stuck = 0, 0, 0, 0
+	b.up, b.capacity, b.stuck = 0, 0, 0
 	for _, t := range b.backends {
 		warmth := b.warmth(t)
 		if t.State == Up {
 			b.up++
-			if !t.cold {
-				b.warm++
-			}
 		}
 		if t.State == Up && !t.down && b.now >= t.ejected {
 			b.capacity += warmth
@@ -696,21 +691,22 @@
 
 // coldRoom reports whether a cold backend may get this request: each agent sends it no more
 // work than a warm one serves for it, times warmth, times the root of the stated multiple: as
-// far below the multiple as above the sure capacity, since most have more than that.
+// far below the multiple as above the sure capacity, since most have more than that. Where none is
+// warm, what the cold ones serve tells, and one request at a time of all agents is the least.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
 	w := b.warmth(t)
 	if !t.cold {
 		return true
 	}
 	mean := b.classes[r.class].latency
-	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
+	rate := max(b.decayed()/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
 	share := w * math.Sqrt(max(1, b.s.FallMultiple))
 	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
 	t.budgetAt = b.now
 	return t.budget > 0 && b.expected(r) <= heavy*mean
 }
 
-// decayed is the work lately served by warm backends, over about one fall window.
+// decayed is the work lately served, over about one fall window.
 func (b *Balancer) decayed() float64 {
 	b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
 	b.doneAt = b.now
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -682,6 +682,36 @@
 	}
 }
 
+// Ticket 397: where every backend is cold, as after a power cut, what they serve sets their budgets.
+// By what warm ones served alone they got nothing more once that had faded.
+func TestColdFleetServes(t *testing.T) {
+	var list []brookferry.Backend
+	for _, n := range backends(5) {
+		n.Started = time.Hour
+		list = append(list, n)
+	}
+	s := settings()
+	s.RampTime = time.Minute
+	r := newRig(t, s, 1, list)
+	served, answered := 0, make([]bool, 1000)
+	for i := range answered { // 20 s, in which the backends warm up by a quarter
+		r.request(fmt.Sprint("q", i), safe)
+		r.advance(20 * ms)
+		for k := max(0, i-50); k <= i; k++ { // held ones go out later than they came
+			if id := fmt.Sprint("q", k); len(r.sent[id]) == 1 && !answered[k] {
+				answered[k] = true
+				r.outcome(id, brookferry.OK, 20*ms)
+				if i >= 500 {
+					served++
+				}
+			}
+		}
+	}
+	if served < 400 {
+		t.Errorf("served %d of 500 requests that one backend could serve", served)
+	}
+}
+
 // A heavy request alone could push a cold backend over.
 func TestColdGetsNoHeavyRequest(t *testing.T) {
 	list := backends(3)
