Judge a backend's failures by how usual they are at the others

A failure in a row with others now counts against the share that fails at the better three quarters of the fleet; where none fails, one still does.

--- a/brookferry.go
+++ b/brookferry.go
@@ -31,6 +31,9 @@
 	slowBound    = 8.0  // one sample says at most that a backend is so many times slower than the mean
 	strikeHeal   = 0.25 // strikes that a served attempt takes back: one error in five keeps them growing
 	strikeCap    = 5.0  // longest ejection is 2^(cap-1) times the first
+	chanceEject  = 0.03 // failures in a row that come with so little chance eject a backend ...
+	chanceDead   = 1e-3 // ... and so little that its process died
+	oddBreaks    = 0.02 // share of attempts that break one by one anywhere
 	strikesBias  = 0.1  // chance of an idle backend that has not healed yet
 	meetAgain    = 4.0  // longest aims within which an agent means to meet a backend again
 	widthLeast   = 3    // idle backends at least among which a choice is made
@@ -535,6 +538,7 @@
 			b.start(t, b.now)
 		}
 		t.down = false
+		t.fail(0)
 		b.doneWork = b.decayed() + a.cost/b.warmth(t)
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
@@ -552,6 +556,7 @@
 			b.pace(min(lat, mean) / max(1, t.slow) / float64(c.Aim)) // a slow one says little of the rest
 		}
 	case Full:
+		t.fail(0)
 		b.learnSpeed(t, lateSlow) // its queue is longer than those that took what came
 		t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
 		b.pace(1)
@@ -569,15 +574,23 @@
 			b.write(note{t.key, noteLate, b.now})
 		}
 	case Errored, ConnectFailed, Reset:
-		// A process that dies breaks all that is out there at once and refuses what comes next. One
-		// attempt that breaks by itself, or whose answer can't be read, tells of no death.
-		died := e.Result == Reset && b.now-t.brokeAt <= b.s.Tick && len(t.out) == 0
-		if e.Result == Reset {
-			t.brokeAt = b.now
-		}
-		t.down = t.down || died || e.Result == ConnectFailed
+		b.broke(t, a, c, e.Result)
+	}
+}
+
+// broke judges a failure by how likely it is where all backends fail now and then. What fails in
+// a row by more than chance is ejected; a process that dies breaks all that is out there, and then
+// refuses connections, and counts as just started once it answers again.
+func (b *Balancer) broke(t *backend, a *attempt, c *classState, res Result) {
+	t.fail(1)
+	usual := usualFails(b.backends)
+	if math.Pow(usual, t.row) < chanceEject {
 		b.strike(t, a, c)
 	}
+	if res == Reset {
+		usual = max(usual, oddBreaks)
+	}
+	t.down = t.down || res != Errored && len(t.out) == 0 && math.Pow(usual, t.row) < chanceDead
 }
 
 // learnSpeed takes one latency, as a multiple of the expected, into a backend's slowness.
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -522,6 +522,54 @@
 	}
 }
 
+// noisy drives a fleet of ten with 40 requests in flight, on which one attempt in twelve fails to
+// connect or breaks and, if bad, two in three at backend a. It returns the sends of the last half,
+// by backend and in all.
+func noisy(t *testing.T, bad bool) (counts map[string]int, total int) {
+	t.Helper()
+	r := newRig(t, settings(), 5, backends(10))
+	counts = map[string]int{}
+	at := map[string]int{}
+	var answered [4000]int
+	for i := range answered {
+		r.request(fmt.Sprint("q", i), unsafe)
+		r.advance(ms)
+		for k := max(0, i-500); k < i-40; k++ {
+			id := fmt.Sprint("q", k)
+			if len(r.sent[id]) == answered[k] {
+				continue
+			}
+			to := r.sent[id][answered[k]]
+			answered[k]++
+			if at[to]++; at[to]%12 == 0 || bad && to == "a" && at[to]%3 > 0 {
+				r.outcome(id, []brookferry.Result{brookferry.Reset, brookferry.ConnectFailed}[at[to]/12%2], ms)
+			} else {
+				r.outcome(id, brookferry.OK, 40*ms)
+			}
+			if i >= 2000 {
+				counts[to]++
+				total++
+			}
+		}
+	}
+	return counts, total
+}
+
+// Ticket 8488: where some attempts break everywhere, one that does tells nothing of its backend.
+// Each ejected or taken for dead in its turn leaves the rest to carry all.
+func TestUsualFailuresEjectNobody(t *testing.T) {
+	if _, total := noisy(t, false); total < 1950 {
+		t.Errorf("%d of 2000 requests were sent", total)
+	}
+}
+
+// What fails far more than the others is still avoided.
+func TestWorseThanUsualIsEjected(t *testing.T) {
+	if counts, total := noisy(t, true); counts["a"] > total/25 {
+		t.Errorf("the failing backend got %d of %d", counts["a"], total)
+	}
+}
+
 // When every backend is ejected, first attempts go out all the same.
 func TestAllEjected(t *testing.T) {
 	s := settings()
--- a/state.go
+++ b/state.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// The records that the module keeps, and two helpers. Nothing is decided here.
+// The records that the module keeps, and helpers that count. Nothing is decided here.
 
 type peer struct {
 	demand float64
@@ -30,6 +30,8 @@
 	rank    uint32     // its place in this agent's own order
 	samples float64    // answers that slow rests on
 	strikes float64
+	fails   float64       // running share of attempts that failed, those without an answer left out
+	row     float64       // of these the last ones, in a row
 	silent  int           // time-outs known since its last answer
 	notedAt time.Duration // of the newest note
 	ejected time.Duration // no traffic before this time
@@ -38,12 +40,33 @@
 	warmFrom                   time.Duration // when its latest start became known or seen
 	seen                       bool          // has answered this balancer since then
 	down                       bool          // its process seems to have died since the last answer
-	brokeAt                    time.Duration // when an attempt there last broke
 	cold                       bool
 	budget                     float64 // work that may be sent while it is cold
 	budgetAt                   time.Duration
 }
 
+// fail counts an attempt that failed (1) or did not (0).
+func (t *backend) fail(x float64) {
+	t.row = (t.row + 1) * x
+	t.fails += smooth / 2 * (x - t.fails)
+}
+
+// usualFails is the share of attempts that fail at the better three quarters of the backends.
+func usualFails(list []*backend) float64 {
+	var shares []float64
+	for _, t := range list {
+		if t.State == Up {
+			shares = append(shares, t.fails)
+		}
+	}
+	slices.Sort(shares)
+	sum, n := 0.0, 3*len(shares)/4
+	for _, x := range shares[:n] {
+		sum += x
+	}
+	return sum / max(1, float64(n))
+}
+
 type attempt struct {
 	b    *backend
 	sent time.Duration
