Follow discovery to its new address on SIGHUP instead of ending

SIGHUP was not handled, so a replaced configuration killed the agent (exit 129) with all it had taken. The program now reads the file again and watches discovery where it is by now, from the whole list. A file that can't be read changes nothing.

--- a/cmd/vetchhaven/main.go
+++ b/cmd/vetchhaven/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"brookferry/internal/agent"
@@ -23,6 +24,10 @@
 }
 
 func run(log *slog.Logger) error {
+	// From the first moment on: unheeded it would end the program.
+	replaced := make(chan os.Signal, 1)
+	signal.Notify(replaced, syscall.SIGHUP)
+	defer signal.Stop(replaced)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	cfg, err := agent.LoadConfig(os.Getenv)
@@ -41,5 +46,28 @@
 	if err != nil {
 		return err
 	}
+	var reloading sync.WaitGroup
+	done := make(chan struct{})
+	reloading.Go(func() { reload(a, log, replaced, done) })
+	defer reloading.Wait()
+	defer close(done)
 	return a.Run(stop)
 }
+
+// reload takes over a replaced configuration at each SIGHUP: of what is in it, discovery's address
+// alone may change while the program runs. One that can't be read changes nothing.
+func reload(a *agent.Agent, log *slog.Logger, replaced <-chan os.Signal, done <-chan struct{}) {
+	for {
+		select {
+		case <-replaced:
+		case <-done:
+			return
+		}
+		discovery, err := agent.LoadDiscovery(os.Getenv)
+		if err != nil {
+			log.Error("the replaced configuration is not used", "error", err)
+			continue
+		}
+		a.Follow(discovery)
+	}
+}
--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -66,33 +66,81 @@
 	}
 }
 
-// SIGTERM with a request in flight: it gets its answer, and the program ends with status 0.
-func TestSigtermWithARequestInFlight(t *testing.T) {
-	came, hold := make(chan struct{}), make(chan struct{})
+// SIGHUP after the configuration was replaced: discovery is watched where it is now, though the
+// variable still names the old address. One that can't be read changes nothing and ends nothing.
+func TestSighupMovesDiscovery(t *testing.T) {
+	watched := make(chan struct{}, 10)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		close(came)
-		<-hold
-		fmt.Fprint(w, "done")
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watched <- struct{}{}
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
 	})}
 	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
-	addr := freeAddr(t)
-	cmd, log := program(t, fmt.Sprintf(config, addr, freeAddr(t), ln.Addr().String()))
+	addr, old := freeAddr(t), freeAddr(t)
+	t.Setenv("PROXY_DISCOVERY", old)
+	cmd, _ := program(t, fmt.Sprintf(config, addr, old, freeAddr(t)))
+	awaitReady(t, addr)
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "PROXY_CONFIG=")
+	for _, text := range []string{"{no configuration", fmt.Sprintf(config, addr, ln.Addr().String(), freeAddr(t))} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		awaitReady(t, addr) // not ended by it
+	}
+	select {
+	case <-watched:
+	case <-time.After(patience):
+		t.Fatal("the new address was not watched")
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// awaitReady waits until the program at addr is ready.
+func awaitReady(t *testing.T, addr string) {
+	t.Helper()
 	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
 		if resp, err := http.Get("http://" + addr + "/_health"); err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == 200 {
-				break
+				return
 			}
 		}
 		if time.Now().After(end) {
-			t.Fatalf("never ready; log %q", log)
+			t.Fatal("never ready")
 		}
 	}
+}
+
+// SIGTERM with a request in flight: it gets its answer, and the program ends with status 0.
+func TestSigtermWithARequestInFlight(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(came)
+		<-hold
+		fmt.Fprint(w, "done")
+	})}
+	go func() { _ = server.Serve(ln) }()
+	defer server.Close()
+	addr := freeAddr(t)
+	cmd, log := program(t, fmt.Sprintf(config, addr, freeAddr(t), ln.Addr().String()))
+	awaitReady(t, addr)
 	answered := make(chan string, 1)
 	go func() {
 		req, _ := http.NewRequest("GET", "http://"+addr+"/get/x", nil)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,6 +74,12 @@
 // Addr is where clients connect.
 func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
 
+// Follow has the agent watch discovery at another address.
+func (a *Agent) Follow(discovery string) {
+	a.log.Info("discovery has moved", "address", discovery)
+	a.discovery.move(discovery)
+}
+
 // Run serves until stop ends, then finishes what was taken and returns.
 func (a *Agent) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background()) // everything goes on through the drain
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -48,6 +48,21 @@
 	return c, nil
 }
 
+// LoadDiscovery reads the file again after it has been replaced, and returns where discovery is
+// by now. There the file goes before the variable, which says what held when the program started.
+func LoadDiscovery(getenv func(string) string) (string, error) {
+	c, err := LoadConfig(func(name string) string {
+		if name == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return "", err
+	}
+	return c.Discovery, nil
+}
+
 func parseConfig(raw []byte, getenv func(string) string) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Seed string
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"brookferry"
@@ -65,10 +66,19 @@
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
+
+	mu      sync.Mutex
+	addr    string
+	watched string                  // where the latest watch went
+	end     context.CancelCauseFunc // of that watch; may be nil
+	moved   chan struct{}           // wakes run after a move, at most one waiting
 }
 
+var errMovedAway = errors.New("discovery has moved")
+
 func newDiscovery(cfg *Config, ck clock, post func(any), log *slog.Logger) *discovery {
 	return &discovery{cfg: cfg, clock: ck, post: post, ask: make(chan struct{}, 1), log: log, silence: watchSilence,
+		addr: cfg.Discovery, watched: cfg.Discovery, moved: make(chan struct{}, 1),
 		client: &http.Client{
 			Transport: &http.Transport{
 				DisableKeepAlives:  true, // a watch has its own connection; nothing may be resent on an old one
@@ -87,28 +97,65 @@
 	}
 }
 
+// move says that discovery answers at another address from now on.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.addr = addr
+	select {
+	case d.moved <- struct{}{}:
+	default:
+	}
+	if d.end != nil {
+		d.end(errMovedAway)
+	}
+}
+
+// begin returns where to watch, and takes what ends that watch if discovery moves.
+func (d *discovery) begin(end context.CancelCauseFunc) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.addr != d.watched {
+		d.version = 0 // it may count anew there: the whole list is asked for
+	}
+	d.end, d.watched = end, d.addr
+	return d.addr
+}
+
+// wait returns true once the next watch is due, false once ctx ends.
+func (d *discovery) wait(ctx context.Context, fails int) bool {
+	ask, again := d.ask, (<-chan time.Time)(nil)
+	if !d.cfg.Settings.Subscribe {
+		if fails == 0 {
+			return true
+		}
+		ask, again = nil, time.After(rand.N(min(reconnectFirst<<min(fails-1, 10), reconnectMost)))
+	}
+	select {
+	case <-ask:
+	case <-again:
+	case <-d.moved:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	fails := 0
-	for {
-		if d.cfg.Settings.Subscribe {
-			select {
-			case <-d.ask:
-			case <-ctx.Done():
-				return
-			}
-		} else if fails > 0 {
-			ceiling := min(reconnectFirst<<min(fails-1, 10), reconnectMost)
-			select {
-			case <-time.After(rand.N(ceiling)):
-			case <-ctx.Done():
-				return
-			}
-		}
+	for d.wait(ctx, fails) {
 		got, err := d.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errMovedAway) { // nothing has failed: on to the new address
+			fails = 0
+			continue
+		}
 		if got {
 			fails = 0
 		}
@@ -124,9 +171,10 @@
 func (d *discovery) watch(ctx context.Context) (got bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	addr := d.begin(cancel)
 	silence := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
 	defer silence.Stop()
-	url := "http://" + d.cfg.Discovery + "/catalog/members?follow=1&since=" + strconv.FormatInt(d.version, 10)
+	url := "http://" + addr + "/catalog/members?follow=1&since=" + strconv.FormatInt(d.version, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -143,6 +143,52 @@
 	receive(t, "second watch", c.watch)
 }
 
+// The platform may move discovery while the agent runs. The watch goes on at the new address at
+// once, from the whole list, whether or not the old one still answers; nothing has failed.
+func TestDiscoveryMoves(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscribe"} {
+		t.Run(mode, func(t *testing.T) {
+			old, next := serveCatalog(t), serveCatalog(t)
+			d, events := follow(t, testConfig(t, setup{mode: mode, discovery: old.addr}), nil)
+			d.subscribe()
+			w := receive(t, "watch", old.watch)
+			w.lines <- line(42, true, "ready")
+			receive(t, "list", events)
+			d.move(old.addr) // no move
+			d.move(next.addr)
+			w = receive(t, "watch at the new address", next.watch)
+			if w.since != "0" {
+				t.Errorf("since %q", w.since)
+			}
+			w.lines <- line(7, true, "draining")
+			if e := receive(t, "list", events); e.list.Kind != brookferry.ListFull || e.list.Backends[0].State != brookferry.Draining {
+				t.Errorf("%+v", e)
+			}
+			close(w.lines)
+			if e := receive(t, "failure", events); e.list.Kind != brookferry.ListFailed {
+				t.Errorf("%+v", e)
+			}
+			d.subscribe()
+			if w = receive(t, "second watch there", next.watch); w.since != "7" {
+				t.Errorf("since %q", w.since)
+			}
+			if len(old.watch) != 0 {
+				t.Error("the old address was watched again")
+			}
+		})
+	}
+}
+
+// A move while nothing is watched, because discovery is down or has not been asked, is heeded too.
+func TestDiscoveryMovesWhileDown(t *testing.T) {
+	next := serveCatalog(t)
+	d, events := follow(t, testConfig(t, setup{mode: "subscribe"}), nil)
+	d.subscribe()
+	receive(t, "failure", events)
+	d.move(next.addr)
+	receive(t, "watch at the new address", next.watch)
+}
+
 func TestStartTimes(t *testing.T) {
 	cfg := testConfig(t, setup{})
 	ck := newClock()
