Tell refused clients when to come back

A refusal carried no advice, though the settings allow it: clients asked again after their own short waits, into the same crowd. They are now told about one longest aim, give or take half so that they do not all return together, within what the settings say they heed.

--- a/api.go
+++ b/api.go
@@ -44,8 +44,7 @@
 // Settings are fixed for the life of a Balancer. The zero value of a field that
 // may be absent means what its comment says; the zero value of a price, a goal or
 // a span switches off what rests on it. What agents may do at a site (MayProbe,
-// MayCancel, RetryAfter and their bounds) is part of the interface though the
-// present module asks for none of it.
+// MayCancel) is part of the interface though the present module asks for none of it.
 type Settings struct {
 	Balancers int // agents that share these backends, this one included; at least 1
 	Self      int // this agent's number, from 0
--- a/brookferry.go
+++ b/brookferry.go
@@ -61,6 +61,7 @@
 	overdueAt    = 0.6  // of the aim: an attempt out for so long is overdue
 	overdueCost  = 3.0  // or this many times the expected latency, if that is later
 	lateSlow     = 3.0  // slowness that an overdue attempt counts for
+	comeBack     = 1.0  // longest aims, give or take half, after which a refused client may find room
 	repeatValue  = 0.1  // value of a client's repeat against a first try: most of its aim has passed
 )
 
@@ -894,7 +895,8 @@
 	}
 	var answer Action = Fail{Request: r.id}
 	if r.risky == 0 {
-		answer = Refuse{Request: r.id}
+		wait := time.Duration(comeBack * (0.5 + b.rng.Float64()) * float64(b.period))
+		answer = Refuse{Request: r.id, RetryAfter: b.s.advice(wait)}
 	}
 	b.actions = append(b.actions, answer)
 	b.close(r)
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -730,6 +730,32 @@
 	}
 }
 
+// A refused client is told when to come back, within what it heeds and where it is shown that,
+// and not all of them at the same time.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	for _, shown := range []bool{true, false} {
+		s := settings()
+		s.RetryAfter, s.MaxRetryAfter = shown, 450*ms
+		r := newRig(t, s, 1, nil) // nowhere to send
+		told := map[time.Duration]bool{}
+		for i := range 20 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			for _, a := range r.advance(500 * ms) {
+				if a, ok := a.(brookferry.Refuse); ok && a.Request == id {
+					told[a.RetryAfter] = true
+					if shown != (a.RetryAfter >= 200*ms) || a.RetryAfter > 450*ms {
+						t.Errorf("shown %v: told %v", shown, a.RetryAfter)
+					}
+				}
+			}
+		}
+		if shown && len(told) < 5 || !shown && len(told) != 1 {
+			t.Errorf("shown %v: %d different waits", shown, len(told))
+		}
+	}
+}
+
 // Ticket 397: where every backend is cold, as after a power cut, what they serve sets their budgets.
 // By what warm ones served alone they got nothing more once that had faded.
 func TestColdFleetServes(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -45,6 +45,14 @@
 	budgetAt                   time.Duration
 }
 
+// advice is a wait in the form in which clients are told it, if they are.
+func (s *Settings) advice(wait time.Duration) time.Duration {
+	if !s.RetryAfter {
+		return 0
+	}
+	return min(wait, s.MaxRetryAfter)
+}
+
 // fail counts an attempt that failed (1) or did not (0).
 func (t *backend) fail(x float64) {
 	t.row = (t.row + 1) * x
