Take an answer without length or announced close for a broken one

Such a 200 was read until its connection ended and passed on as whole, though nothing tells it from one that was cut off. It is now a reset that may have run.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -287,6 +287,7 @@
 		"broken in the header": {"HTTP/1.1 200 OK\r\nTRUNCATED", brookferry.Reset},
 		"truncated length":     {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nTRUNCATED", brookferry.Reset},
 		"truncated chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nTRUNCATED\r\n", brookferry.Reset},
+		"no length":            {"HTTP/1.1 200 OK\r\n\r\nTRUNCATED", brookferry.Reset},
 		"no HTTP":              {"TRUNCATED\r\n\r\n", brookferry.Reset},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -235,7 +236,7 @@
 
 // reap closes what has been idle for too long, until ctx ends.
 func (b *backends) reap(ctx context.Context) {
-	every := b.keepIdle / 8
+	every := max(b.keepIdle/8, time.Millisecond)
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
@@ -334,6 +335,10 @@
 		return result, nil, none
 	}
 	b.learn(c, false)
+	if endless(resp) {
+		resp.Body.Close()
+		return b.broken(ctx, id, c), nil, none
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	resp.Body.Close()
 	if err != nil {
@@ -355,6 +360,15 @@
 	return brookferry.Errored, nil, load
 }
 
+// endless reports whether an answer says neither how long it is nor that its connection ends with
+// it. It can't be told from one that was cut off.
+func endless(resp *http.Response) bool {
+	closes := slices.ContainsFunc(resp.Header["Connection"], func(text string) bool {
+		return strings.EqualFold(strings.TrimSpace(text), "close")
+	})
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoAtLeast(1, 1) && !closes
+}
+
 // broken tells how an attempt ended that brought no whole answer, and closes its connection.
 func (b *backends) broken(ctx context.Context, id string, c *conn) brookferry.Result {
 	cause := context.Cause(ctx)
--- a/internal/agent/reuse_test.go
+++ b/internal/agent/reuse_test.go
@@ -68,3 +68,12 @@
 		t.Error("idle connections are doubted, though new ones break as often")
 	}
 }
+
+// The least time after which backends close idle connections is no reason to end the program.
+func TestReapWithTheLeastIdleTime(t *testing.T) {
+	cfg := testConfig(t, setup{})
+	cfg.Site.IdleClose = 1
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	newBackends(cfg, quiet).reap(ctx)
+}
