Eject no backend for one broken attempt

A break ejected its backend as long as the usual share of failures, at first nothing, was below the bound. A reset is now judged by a share of 4% at least: two in a row eject, and three with nothing left running are a death. Errors and refused connections still eject at once where they are rare.

--- a/brookferry.go
+++ b/brookferry.go
@@ -33,7 +33,7 @@
 	strikeCap    = 5.0  // longest ejection is 2^(cap-1) times the first
 	chanceEject  = 0.03 // failures in a row that come with so little chance eject a backend ...
 	chanceDead   = 1e-3 // ... and so little that its process died
-	oddBreaks    = 0.02 // share of attempts that break one by one anywhere
+	oddBreaks    = 0.04 // share of attempts that break one by one anywhere: two tell, and three of death
 	strikesBias  = 0.1  // chance of an idle backend that has not healed yet
 	meetAgain    = 4.0  // longest aims within which an agent means to meet a backend again
 	widthLeast   = 3    // idle backends at least among which a choice is made
@@ -585,12 +585,12 @@
 func (b *Balancer) broke(t *backend, a *attempt, c *classState, res Result) {
 	t.fail(1)
 	usual := usualFails(b.backends)
-	if math.Pow(usual, t.row) < chanceEject {
-		b.strike(t, a, c)
-	}
 	if res == Reset {
 		usual = max(usual, oddBreaks)
 	}
+	if math.Pow(usual, t.row) < chanceEject {
+		b.strike(t, a, c)
+	}
 	t.down = t.down || res != Errored && len(t.out) == 0 && math.Pow(usual, t.row) < chanceDead
 }
 
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -563,6 +563,29 @@
 	}
 }
 
+// A lone break ejects nobody, also before the agent has learned what is usual: with as many
+// backends out as broke in the first seconds, a tenth was refused. Two in a row do.
+func TestLoneBreakEjectsNobody(t *testing.T) {
+	for n, ejected := range map[int]bool{1: false, 2: true} {
+		r := newRig(t, settings(), 1, backends(3))
+		r.serve(30, unsafe, 20*ms)
+		for i := 0; n > 0; i++ {
+			id := fmt.Sprint("b", i)
+			r.request(id, unsafe)
+			r.now += ms
+			if r.sent[id][0] == "a" {
+				r.outcome(id, brookferry.Reset, ms)
+				n--
+			} else {
+				r.outcome(id, brookferry.OK, 20*ms)
+			}
+		}
+		if got := r.serve(20, unsafe, ms)["a"]; (got == 0) != ejected {
+			t.Errorf("it got %d of 20, ejected wanted: %v", got, ejected)
+		}
+	}
+}
+
 // What fails far more than the others is still avoided.
 func TestWorseThanUsualIsEjected(t *testing.T) {
 	if counts, total := noisy(t, true); counts["a"] > total/25 {
