Reckon a restarted agent's demand as it will stand

Shares of the in-flight limit follow a fading sum of what clients ask for. After a restart that sum is small beside peers', so the busy agent kept to a tenth of the limit and refused a fifth for some seconds. It is now divided by the part of its span that the agent has lived.

--- a/brookferry.go
+++ b/brookferry.go
@@ -90,10 +90,10 @@
 	capacity float64 // their number, each counted by its warmth
 	delay    float64 // running mean of latency over aim
 
-	doneWork                float64 // decayed work served, that of a cold backend over its warmth
-	cutAt, doneAt, demandAt time.Duration
-	askFails                int
-	askToken                int64
+	doneWork                      float64 // decayed work served, that of a cold backend over its warmth
+	cutAt, doneAt, demandAt, born time.Duration
+	askFails                      int
+	askToken                      int64
 
 	demand    float64       // decayed work that clients asked for in first tries
 	peers     []peer        // by number
@@ -136,6 +136,7 @@
 	b.now, b.actions = max(now, b.now), nil
 	b.measure()
 	if b.s.Peers && b.tellToken == 0 {
+		b.born, b.demandAt = b.now, b.now
 		b.tellToken = b.alarm(time.Duration(b.rng.Float64() * float64(b.period)))
 	}
 	for _, e := range events {
@@ -830,7 +831,7 @@
 }
 
 func (b *Balancer) message(notes []note, step int) {
-	data := tidings{b.demand, b.delay, notes}.encode(b.now, b.period)
+	data := tidings{b.asked(), b.delay, notes}.encode(b.now, b.period)
 	b.actions = append(b.actions, TellPeer{To: (b.s.Self + step) % b.s.Balancers, Data: data})
 }
 
@@ -846,7 +847,7 @@
 	for i := 1; i <= min(tellFan, others) && !b.notesOn(); i++ {
 		b.message(nil, 1+(from+i)%others)
 	}
-	total, heard, n := b.demand, 1.0, float64(b.s.Balancers)
+	total, heard, n := b.asked(), 1.0, float64(b.s.Balancers)
 	for _, p := range b.peers {
 		if b.now < p.until {
 			total += p.demand
@@ -856,7 +857,7 @@
 		}
 	}
 	if b.share = 1 / n; total > 0 {
-		b.share = (headShare + (1-headShare)*b.demand/total*heard) / n
+		b.share = (headShare + (1-headShare)*b.asked()/total*heard) / n
 	}
 }
 
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -1204,6 +1204,40 @@
 	}
 }
 
+// An agent that was restarted has seen little of what its clients ask for. Beside a peer with as
+// much traffic it must not reckon itself quiet and refuse at a small part of the limit.
+func TestRestartedAgentKeepsItsShare(t *testing.T) {
+	s := settings()
+	s.Balancers, s.Peers = 2, true
+	drive := func(self, n int, heard []byte) (r *rig, told []byte) {
+		s.Self = self
+		r = newRig(t, s, 1, backends(10))
+		for range n {
+			r.serve(1, safe, 20*ms)
+			for _, a := range r.advance(0) {
+				if a, ok := a.(brookferry.TellPeer); ok {
+					told = a.Data
+				}
+			}
+			if heard != nil {
+				r.step(brookferry.PeerMessage{From: 1 - self, Data: heard})
+			}
+		}
+		return r, told
+	}
+	_, told := drive(0, 500, nil)
+	r, _ := drive(1, 25, told) // half a second, a little more than a tell
+	n := 0
+	for i := range 100 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		n += len(r.sent[id])
+	}
+	if n < 24 || n > 40 {
+		t.Errorf("%d in flight, half the limit of 60 is its share", n)
+	}
+}
+
 // Incident ie43f64: with every agent telling every other, messages grew with the square of
 // their number. However many agents there are, one tells few of them, and not always the same.
 func TestTellsAreFew(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package brookferry
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -45,6 +46,13 @@
 	budgetAt                   time.Duration
 }
 
+// asked is the decayed work that clients asked for, as it will stand once the agent has run for
+// long: one that was restarted would reckon itself quiet beside peers that were not.
+func (b *Balancer) asked() float64 {
+	age := max(float64(b.now-b.born), float64(b.period)/4)
+	return b.demand / (1 - math.Exp(-age/(tellMissed*float64(b.period))))
+}
+
 // advice is a wait in the form in which clients are told it, if they are.
 func (s *Settings) advice(wait time.Duration) time.Duration {
 	if !s.RetryAfter {
