Keep counting the in-flight limit while an even part of it is an attempt

With the module's state printed, agents had 4 to 7 attempts out at a limit of 1.1 from the moment at which fewer than 40 of the backends were up for 80 agents: there the module turned from counting to credit, and credit saved up before let all requests go out at once. The 24 warm backends answered in 1.5 s and stayed slow.

To blame: thinPart (3) in thin(), under which a fleet turns to credit though its limit can still be counted; the comments and tests speak of a part below one attempt.

TestThinAgentAloneAdmitsLess takes 15 backends, which is still thin at 100 agents.

--- a/brookferry.go
+++ b/brookferry.go
@@ -44,7 +44,7 @@
 	aimedAlone   = 0.6  // the same for a thin agent without peers: full servers met by chance count as delay
 	limitCut     = 0.9  // one cut of the in-flight limit
 	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
-	thinPart     = 3.0  // an even part of the limit below this is kept by credit, not by counting
+	thinPart     = 1.0  // an even part of the limit below this is kept by credit, not by counting
 	thinBurst    = 4.0  // mean requests that may go out ahead of the credit
 	thinMost     = 2.0  // what a first try brings at most, in its own work: retries need some too
 	startPerBack = 6.0  // in-flight limit at the start, for all agents together per backend
