Learn from cold backends' answers how warm they really are

To blame: observe() held a cold backend's latency against it as slowness, besides its warmth, and an agent that meets each backend every few seconds kept that for long (weight warmth/slow^3 in pick()); its latency also counted as delay in pace() and cut the limit; and measure() counted it by the stated least, so that the limit could not grow. Now latency is taken times warmth, and warmth is the least over a running mean (lag) of what cold ones' answers say, at most FallMultiple times it. The budgets of cold backends rest on the stated least as before; under crowding they alone hold the choice back.

Ruled out: the budgets' rate (an agent's debt at the start is a random phase, right in the mean) and discovery.

--- a/brookferry.go
+++ b/brookferry.go
@@ -89,13 +89,15 @@
 	up       int     // backends that the list says are up
 	capacity float64 // their number, each counted by its warmth
 	delay    float64 // running mean of latency over aim
+	lag      float64 // running mean of cold backends' slowness times their sure warmth
+	lags     float64 // answers that it rests on
 
-	doneWork                      float64 // decayed work served, that of a cold backend over its warmth
-	cutAt, doneAt, demandAt, born time.Duration
-	askFails                      int
-	askToken                      int64
+	done        decaying // work served over about one fall window, that of a cold backend over its warmth
+	cutAt, born time.Duration
+	askFails    int
+	askToken    int64
 
-	demand    float64       // decayed work that clients asked for in first tries
+	demand    decaying      // work that clients asked for in first tries
 	peers     []peer        // by number
 	period    time.Duration // between two tells: the longest aim
 	tellToken int64
@@ -116,16 +118,15 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
-		perBack: startPerBack, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
+		perBack: startPerBack, lag: 1, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
 		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, requests: map[string]*request{},
-		timers: map[int64]*request{}, watched: map[int64]*attempt{}}
-	b.fits = make([][]float64, len(s.Classes))
+		timers: map[int64]*request{}, watched: map[int64]*attempt{}, fits: make([][]float64, len(s.Classes))}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
-	if s.ColdShare == 0 {
-		b.s.ColdShare = 1
-	}
+	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
+	b.done.span = float64(s.FallWindow + 1)
 	for _, c := range s.Classes {
 		b.period = max(b.period, c.Aim)
+		b.demand.span = tellMissed * float64(b.period)
 		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4})
 	}
 	return b, nil
@@ -136,7 +137,7 @@
 	b.now, b.actions = max(now, b.now), nil
 	b.measure()
 	if b.s.Peers && b.tellToken == 0 {
-		b.born, b.demandAt = b.now, b.now
+		b.born = b.now
 		b.tellToken = b.alarm(time.Duration(b.rng.Float64() * float64(b.period)))
 	}
 	for _, e := range events {
@@ -200,7 +201,7 @@
 	b.lastAt = b.now
 	b.requests[e.ID] = r
 	if !r.repeat {
-		b.demand += b.expected(r)
+		b.demand.add(b.now, b.expected(r))
 		b.earn(r)
 	}
 	b.hold(r)
@@ -406,7 +407,7 @@
 // random; else the one with the fewest in flight; never the one that just failed
 // unless it is the only one. nil means that none may be used now.
 func (b *Balancer) pick(r *request) *backend {
-	notes := b.notesOn()
+	notes, calm := b.notesOn(), b.now-b.cutAt > b.s.RampTime
 	var idle, few, last *backend
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
 	wide := b.width()
@@ -432,15 +433,18 @@
 		if load < 1 {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
-			w := b.warmth(t) / (slow * slow * slow)
+			w := 1 / (slow * slow * slow)
 			if notes {
-				w = b.warmth(t) / slow // all know the same: the cube would send all to the same few
+				w = 1 / slow // all know the same: the cube would send all to the same few
 			}
 			if t.strikes > 0 && notes {
 				w *= strikesBias // all agents together must not try it at once
 			}
-			if t.Zone != b.s.Zone && b.s.CrossZonePrice > 0 && b.now-b.cutAt > b.s.RampTime {
-				w *= crossBias // while nothing is crowded
+			if calm { // where it is crowded a cold one's budget keeps it to its part
+				w *= b.sure(t)
+				if t.Zone != b.s.Zone && b.s.CrossZonePrice > 0 {
+					w *= crossBias
+				}
 			}
 			wide--
 			if total += w; b.rng.Float64()*total < w {
@@ -453,12 +457,7 @@
 			few, least = t, score
 		}
 	}
-	for _, t := range []*backend{idle, few} {
-		if t != nil {
-			return t
-		}
-	}
-	return last // all are ejected: a first attempt still goes out
+	return cmp.Or(idle, few, last) // all are ejected: a first attempt still goes out
 }
 
 // width is how many idle backends a choice is made among: the first of this agent's own order
@@ -541,7 +540,10 @@
 		}
 		t.down = false
 		t.fail(0)
-		b.doneWork = b.decayed() + a.cost/b.warmth(t)
+		w := b.warmth(t)
+		raw := lat
+		lat = max(lat*w, min(lat, a.cost)) // a cold one is slow by that: the rest tells of its queue
+		b.done.add(b.now, a.cost/w)
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
 		t.seen = true
@@ -553,7 +555,12 @@
 		c.latency = blend(c.latency, max(mean, 1))
 		if !a.late {
 			fit := b.fit(t, r.class)
-			*fit += smooth * (min(lat/a.cost, slowBound) - *fit)
+			if slow := min(raw/a.cost, slowBound); t.cold {
+				b.lags++
+				b.lag += max(smooth, 1/(b.lags+2*priorSamples)) * (slow / *fit * b.sure(t) - b.lag)
+			} else {
+				*fit += smooth * (slow - *fit)
+			}
 			b.learnSpeed(t, lat/a.cost / *fit)
 			b.pace(min(lat, mean) / max(1, t.slow) / float64(c.Aim)) // a slow one says little of the rest
 		}
@@ -642,10 +649,8 @@
 // healthy reports whether t may get r as ordinary traffic. After an ejection it gets one attempt
 // at a time until healed, of unsafe requests only where no others came for as long again.
 func (b *Balancer) healthy(t *backend, r *request) bool {
-	if b.now < t.ejected || t.strikes == 0 {
-		return b.now >= t.ejected
-	}
-	return len(t.out) == 0 && (b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt)
+	return b.now >= t.ejected && (t.strikes == 0 || len(t.out) == 0 &&
+		(b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt))
 }
 
 // pace moves the limit on attempts in flight by the latency seen, as a share of the aim: down
@@ -679,8 +684,14 @@
 	t.budget, t.budgetAt = -b.rng.Float64()*b.classes[0].latency, b.now
 }
 
-// warmth is the share of its full capacity that a backend surely has by now.
+// warmth is the share of its full capacity that a backend has by now. Departure: the stated start
+// and ramp are the least; how fast cold ones answer tells how much warmer they are.
 func (b *Balancer) warmth(t *backend) float64 {
+	return min(1, b.sure(t)/max(min(b.lag, 1), 1/max(1, b.s.FallMultiple)))
+}
+
+// sure is the share of its full capacity that a backend surely has by now.
+func (b *Balancer) sure(t *backend) float64 {
 	age := b.now - t.warmFrom
 	if t.cold = t.cold && age < b.s.RampTime; !t.cold {
 		return 1
@@ -709,25 +720,18 @@
 // far below the multiple as above the sure capacity, since most have more than that. Where none is
 // warm, what the cold ones serve tells, and one request at a time of all agents is the least.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
-	w := b.warmth(t)
+	w := b.sure(t)
 	if !t.cold {
 		return true
 	}
 	mean := b.classes[r.class].latency
-	rate := max(b.decayed()/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
+	rate := max(b.done.sum(b.now)/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
 	share := w * math.Sqrt(max(1, b.s.FallMultiple))
 	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
 	t.budgetAt = b.now
 	return t.budget > 0 && b.expected(r) <= heavy*mean
 }
 
-// decayed is the work lately served, over about one fall window.
-func (b *Balancer) decayed() float64 {
-	b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
-	b.doneAt = b.now
-	return b.doneWork
-}
-
 // ---- List following ----
 
 func (b *Balancer) onList(e List) {
@@ -800,9 +804,7 @@
 	if t := b.byKey[n.key]; t != nil {
 		t.notedAt = n.at
 	}
-	if b.notes = append(b.notes, n); len(b.notes) > notesKept {
-		b.notes = append(b.notes[:0], b.notes[1:]...)
-	}
+	b.notes = append(b.notes[max(0, len(b.notes)+1-notesKept):], n)
 }
 
 // read takes in a peer's note unless something newer is known: the same one comes by many
@@ -839,8 +841,6 @@
 // than tellFan, a sample of them is told, and those heard lately stand for the rest: telling
 // all costs messages with the square of the number of agents.
 func (b *Balancer) tell() {
-	b.demand *= math.Exp(-float64(b.now-b.demandAt) / (tellMissed * float64(b.period)))
-	b.demandAt = b.now
 	b.tellToken = b.alarm(b.period)
 	sampled := b.s.Balancers-1 > tellFan
 	from, others := b.rng.IntN(b.s.Balancers), b.s.Balancers-1
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -699,6 +699,66 @@
 	}
 }
 
+// join+vast: what a backend was slow by while cold was held against it, besides its warmth, and an
+// agent that met it seldom left it idle long after it was warm.
+func TestColdSlownessIsForgotten(t *testing.T) {
+	list := backends(5)
+	list[0].Started = time.Hour
+	r := newRig(t, settings(), 9, list)
+	serve := func(n int) (got int) {
+		for range n {
+			id := fmt.Sprint("q", len(r.sent))
+			r.request(id, safe)
+			latency := 20 * ms
+			if r.sent[id][0] == "a" {
+				got++
+				latency = max(20*ms, time.Duration(float64(20*ms)*float64(10*time.Second)/float64(r.now-time.Hour+2*time.Second)))
+			}
+			r.now += latency
+			r.outcome(id, brookferry.OK, latency)
+		}
+		return got
+	}
+	serve(200)
+	r.advance(10 * time.Second)
+	if n := serve(60); n < 8 {
+		t.Errorf("once warm it got %d of 60, want about an even part", n)
+	}
+}
+
+// join+vast: 36 of 60 backends were warm after half of the stated time, and the agents refused what
+// those could have served. The answers of cold ones tell how warm they are.
+func TestAnswersTellWarmth(t *testing.T) {
+	play := func(cold time.Duration) (sent int) {
+		list := backends(8)
+		for i := range 6 {
+			list[i].Started = time.Hour
+		}
+		s := settings()
+		s.RampTime = time.Minute
+		r := newRig(t, s, 9, list)
+		for i := range 200 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			latency := 40 * ms
+			if r.sent[id][0] < "g" {
+				latency = cold
+			}
+			r.now += latency
+			r.outcome(id, brookferry.OK, latency)
+		}
+		for i := range 100 { // and nothing is answered
+			id := fmt.Sprint("all", i)
+			r.request(id, safe)
+			sent += len(r.sent[id])
+		}
+		return sent
+	}
+	if fast, slow := play(40*ms), play(200*ms); fast < slow*5/4 {
+		t.Errorf("%d in flight with cold backends as fast as warm ones, %d with slow ones", fast, slow)
+	}
+}
+
 // Incidents i37feae and i28e3f7: under overload a cold backend gets more than its sure share of
 // what a warm one serves, and stays well below the stated multiple of it.
 func TestColdShareUnderOverload(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -50,9 +50,23 @@
 // long: one that was restarted would reckon itself quiet beside peers that were not.
 func (b *Balancer) asked() float64 {
 	age := max(float64(b.now-b.born), float64(b.period)/4)
-	return b.demand / (1 - math.Exp(-age/(tellMissed*float64(b.period))))
+	return b.demand.sum(b.now) / (1 - math.Exp(-age/b.demand.span))
 }
 
+// decaying is a sum of which each part fades exponentially over a span.
+type decaying struct {
+	total, span float64
+	at          time.Duration
+}
+
+func (d *decaying) sum(now time.Duration) float64 {
+	d.total *= math.Exp(-float64(now-d.at) / d.span)
+	d.at = now
+	return d.total
+}
+
+func (d *decaying) add(now time.Duration, x float64) { d.total = d.sum(now) + x }
+
 // advice is a wait in the form in which clients are told it, if they are.
 func (s *Settings) advice(wait time.Duration) time.Duration {
 	if !s.RetryAfter {
