Prefer for a key the same few idle backends at every agent

The settings say that a backend does less work for a key that it served lately, and a key comes once or twice a second in all: spread by 80 agents over 60 backends it is new nearly everywhere.

To blame: pick() chose among idle backends without regard to the key, and the agent and the adapter did not pass it on. Now the cookie's sid (Item on the simulator's wire) reaches the module as a hash, and where the settings say that keys stay warm an idle backend's weight falls with the square of its distance to the key, an order that all agents share without a message. Idle-first picking, slowness, budgets and ejections stay before it.

--- a/api.go
+++ b/api.go
@@ -73,6 +73,7 @@
 
 	GoalWhole, GoalWindow, GoalClass float64 // what the operator weighs: all, worst span, worst class
 	CrossZonePrice                   float64 // what crossing zones costs, as a share of the result
+	WarmKeys                         bool    // a backend does less work for a key that it served lately
 }
 
 // BackendState is what the list says of a backend.
@@ -121,6 +122,7 @@
 		Left   time.Duration // until this client stops waiting
 		Work   time.Duration // expected work; 0: unknown
 		Repeat bool          // the client says that it tries again
+		Key    uint64        // a hash of what it concerns; 0: unknown
 	}
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
--- a/brookferry.go
+++ b/brookferry.go
@@ -173,7 +173,7 @@
 	}
 	c := &b.classes[e.Class]
 	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
-		deadline: b.now + e.Left, repeat: e.Repeat}
+		deadline: b.now + e.Left, repeat: e.Repeat, key: e.Key}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	if c.patience == 0 {
@@ -396,13 +396,6 @@
 	return v
 }
 
-func (b *Balancer) unit(c *classState) float64 {
-	if b.s.ByWork {
-		return c.latency
-	}
-	return 1
-}
-
 // pick chooses a backend: one where this balancer has nothing in flight, at
 // random; else the one with the fewest in flight; never the one that just failed
 // unless it is the only one. nil means that none may be used now.
@@ -427,15 +420,20 @@
 		}
 		load := float64(len(t.out))
 		if !t.seen {
-			load = float64(b.inFlight) / float64(b.up) // a new one counts at the mean: no rush
+			load = max(load, float64(b.inFlight)/float64(b.up)) // a new one counts at the mean: no rush
 		}
 		slow := b.slowness(t) * *b.fit(t, r.class)
 		if load < 1 {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
 			w := 1 / (slow * slow * slow)
+			// Departure: spread over all, a key is new to most backends it meets. Among idle ones the few
+			// nearest to it, the same at every agent, serve it for less work.
+			if d := t.distance(r.key); b.s.WarmKeys && r.key != 0 {
+				w /= d * d
+			}
 			if notes {
-				w = 1 / slow // all know the same: the cube would send all to the same few
+				w *= slow * slow // all know the same: the cube would send all to the same few
 			}
 			if t.strikes > 0 && notes {
 				w *= strikesBias // all agents together must not try it at once
@@ -720,13 +718,12 @@
 // far below the multiple as above the sure capacity, since most have more than that. Where none is
 // warm, what the cold ones serve tells, and one request at a time of all agents is the least.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
-	w := b.sure(t)
+	share := b.sure(t) * math.Sqrt(max(1, b.s.FallMultiple))
 	if !t.cold {
 		return true
 	}
 	mean := b.classes[r.class].latency
 	rate := max(b.done.sum(b.now)/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
-	share := w * math.Sqrt(max(1, b.s.FallMultiple))
 	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
 	t.budgetAt = b.now
 	return t.budget > 0 && b.expected(r) <= heavy*mean
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -1330,6 +1330,68 @@
 	}
 }
 
+// zone+vast: 80 agents spread each key over 60 backends, and nearly all of the work that a backend
+// saves on a key it met lately was lost. Any two agents prefer the same few idle ones for a key,
+// other keys have others, and one in use or ejected gives way as ever.
+func TestKeysMeetAgain(t *testing.T) {
+	play := func(warm bool, seed, key uint64) map[string]int {
+		s := settings()
+		s.WarmKeys, s.Balancers, s.Self = warm, 20, int(seed)
+		r := newRig(t, s, seed, backends(20))
+		counts := map[string]int{}
+		for i := range 100 {
+			id := fmt.Sprint("q", i)
+			r.step(brookferry.Request{ID: id, Class: safe, Left: 2000 * ms, Key: key})
+			r.now += 20 * ms
+			r.outcome(id, brookferry.OK, 20*ms)
+			counts[r.sent[id][0]]++
+		}
+		return counts
+	}
+	// together is the share of pairs of requests, one of each agent, that meet at one backend.
+	together := func(x, y map[string]int) (share float64) {
+		for id := range x {
+			share += float64(x[id]*y[id]) / 1e4
+		}
+		return share
+	}
+	first, sum := map[string]bool{}, 0.0
+	for key := uint64(1); key <= 40; key++ {
+		x, y := play(true, 1, key<<40+key), play(true, 2, key<<40+key)
+		sum += together(x, y)
+		for id, n := range x {
+			if n > 40 {
+				first[id] = true
+			}
+		}
+	}
+	if sum < 40*0.25 {
+		t.Errorf("%.2f of the requests of two agents for one key meet, want far more than one in 20", sum/40)
+	}
+	if len(first) < 10 {
+		t.Errorf("the keys keep to %d of 20 backends", len(first))
+	}
+	for _, key := range []uint64{0, 7} {
+		if share := together(play(key == 0, 1, key), play(key == 0, 2, key)); share > 0.1 {
+			t.Errorf("key %d, which is unknown or saves nothing: %.2f meet", key, share)
+		}
+	}
+
+	s := settings()
+	s.WarmKeys = true
+	r := newRig(t, s, 1, backends(8))
+	r.serve(100, safe, 20*ms)
+	used := map[string]bool{}
+	for i := range 8 { // nothing is answered
+		id := fmt.Sprint("q", i)
+		r.step(brookferry.Request{ID: id, Class: safe, Left: 2000 * ms, Key: 99})
+		used[r.sent[id][0]] = true
+	}
+	if len(used) != 8 {
+		t.Errorf("8 requests with one key went to %d of 8 idle backends", len(used))
+	}
+}
+
 // Incident i952f82: agents that stop leave their share of the limit to those that get their traffic.
 func TestStoppedPeersLeaveTheirShare(t *testing.T) {
 	s := settings()
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/wire"
 )
 
 // front takes clients' requests and gives them the loop's answers.
@@ -262,6 +263,9 @@
 	h := hr.Header
 	r := newRequest(h.Get("X-Trace-Id"), class)
 	r.repeat = h.Get("X-Second-Try") == "1"
+	if c, err := hr.Cookie("sid"); err == nil {
+		r.key = wire.Key(c.Value)
+	}
 	if r.id == "" {
 		return nil, bad("X-Trace-Id: missing")
 	}
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"brookferry/internal/wire"
 )
 
 // pipeListener hands the front connections that live in memory, so that its time-outs can run on
@@ -279,3 +282,22 @@
 		}
 	})
 }
+
+// The module is told what a request concerns, where its cookie says so.
+func TestCookieIsTheKey(t *testing.T) {
+	f := newFront(testConfig(t, setup{}), nil, quiet)
+	for cookie, want := range map[string]uint64{"": 0, "a=b": 0, "sid=7f3a": wire.Key("7f3a"), "a=b; sid=7f3a": wire.Key("7f3a")} {
+		hr := httptest.NewRequest(http.MethodGet, "/get/x", nil)
+		hr.Header.Set("X-Trace-Id", "t1")
+		if cookie != "" {
+			hr.Header.Set("Cookie", cookie)
+		}
+		r, err := f.parse(httptest.NewRecorder(), hr)
+		if err != nil {
+			t.Fatal(err.text)
+		}
+		if r.key != want || cookie != "" && r.message.header.Get("Cookie") != cookie {
+			t.Errorf("cookie %q: key %x, want %x; passed on: %v", cookie, r.key, want, r.message.header)
+		}
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -30,6 +30,7 @@
 	left     time.Duration // until then, as the client told it
 	work     time.Duration
 	repeat   bool
+	key      uint64        // a hash of what it concerns; 0: unknown
 	reply    chan reply    // of one, so that the loop never waits
 	over     chan struct{} // closed with the final answer
 
@@ -182,7 +183,8 @@
 		}
 		l.counts.requests++
 		l.requests[e.id] = e.request
-		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class, Work: e.work, Repeat: e.repeat})
+		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class, Work: e.work,
+			Repeat: e.repeat, Key: e.key})
 	case ended:
 		e.open--
 		e.timedOut = e.timedOut || e.outcome.Result == brookferry.TimedOut
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -36,11 +36,12 @@
 		DrainGraceMs, GraceToAnswerMs, AskWithinMs float64
 		ColdFrom, RampTimeMs, FallMultiple, FallMs float64
 	}
-	Goal   struct{ Whole, WorstWindow, WorstClass float64 }
-	Prices struct{ CrossZone float64 }
-	Dcs    []string
-	Kinds  []string
-	Report struct{ Source string }
+	FamilyInfo struct{ WarmKeys bool }
+	Goal       struct{ Whole, WorstWindow, WorstClass float64 }
+	Prices     struct{ CrossZone float64 }
+	Dcs        []string
+	Kinds      []string
+	Report     struct{ Source string }
 }
 
 // Site is what an agent on sockets needs of the settings object besides what the module takes.
@@ -96,6 +97,7 @@
 		GoalWindow:     f.Goal.WorstWindow,
 		GoalClass:      f.Goal.WorstClass,
 		CrossZonePrice: f.Prices.CrossZone,
+		WarmKeys:       f.FamilyInfo.WarmKeys,
 	}
 	effects := map[string]brookferry.Effect{
 		"repeatable": brookferry.Safe, "by_key": brookferry.Keyed, "once": brookferry.Unsafe}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
 	"strconv"
@@ -78,6 +79,7 @@
 	GraceMs    *float64
 	WorkHintMs float64
 	StateBits  int
+	Item       string
 	Outcome    *string
 	WaitTimeMs *float64
 	Backend    *string
@@ -89,6 +91,16 @@
 	Text       *string `json:"Msg"`
 }
 
+// Key hashes what a request concerns, the same everywhere; 0 where that is unknown.
+func Key(item string) uint64 {
+	if item == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(item)) // never fails
+	return h.Sum64()
+}
+
 const (
 	bitHintValid = 1
 	bitRepeat    = 2
@@ -183,7 +195,7 @@
 			return errors.New("missing Job, TierClass or GraceMs")
 		}
 		q := brookferry.Request{ID: *m.Job, Class: *m.TierClass, Left: duration(*m.GraceMs),
-			Repeat: m.StateBits&bitRepeat != 0}
+			Repeat: m.StateBits&bitRepeat != 0, Key: Key(m.Item)}
 		if m.StateBits&bitHintValid != 0 {
 			q.Work = duration(m.WorkHintMs)
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -34,6 +34,8 @@
 			brookferry.Request{ID: "d0", Class: 1, Left: 240500 * time.Microsecond, Work: 12 * ms, Repeat: true}},
 		{`{"msg":"Submit","Agent":3,"Job":"d0","TierClass":0,"GraceMs":240,"WorkHintMs":12,"Later":{"x":1}}`,
 			brookferry.Request{ID: "d0", Left: 240 * ms}},
+		{`{"msg":"Submit","Agent":3,"Job":"d0","TierClass":0,"GraceMs":240,"Item":"91f03b7c55d20a64"}`,
+			brookferry.Request{ID: "d0", Left: 240 * ms, Key: Key("91f03b7c55d20a64")}},
 		{`{"msg":"Ended","Agent":3,"Job":"d0","Outcome":"pass","WaitTimeMs":18.5,"Backend":"b","SendNo":2,"Ended":true,"Usage":{"backlog":4,"recent_ms":7,"errors_per_s":0.5}}`,
 			brookferry.Outcome{Request: "d0", Attempt: 2, Backend: "b", Latency: 18500 * time.Microsecond, Done: true,
 				Load: brookferry.Load{Valid: true, Queue: 4, Service: 7 * ms, ErrorsPerSec: 0.5}}},
@@ -71,7 +73,7 @@
 "Profiles":[{"Name":"x","AimMs":400,"DeadlineMs":1500,"Worth":3,"LateValue":0.25,"Semantics":"by_key","Group":"cell","WindowMs":3000}],
 "PolicyLimits":{"TryLimit":4,"SecondCopies":true,"Peers":true,"MaxRetryAfterMs":1500},
 "Contract":{"ColdFrom":0.16,"DrainGraceMs":500,"FallMs":1000,"FallMultiple":2.5,"RampTimeMs":20000,"AskWithinMs":10000,"GraceToAnswerMs":20},
-"Goal":{"Whole":0.55,"WorstClass":0.3,"WorstWindow":0.15},"Prices":{"CrossZone":0.02}}`
+"Goal":{"Whole":0.55,"WorstClass":0.3,"WorstWindow":0.15},"Prices":{"CrossZone":0.02},"FamilyInfo":{"WarmKeys":true}}`
 
 func TestSettings(t *testing.T) {
 	oneLine := strings.ReplaceAll(factsJSON, "\n", "")
@@ -86,7 +88,7 @@
 		MaxAttempts: 4, SecondCopies: true, Peers: true, MaxRetryAfter: 1500 * ms,
 		DrainGrace: 500 * ms, AnswerGrace: 20 * ms, AskWithin: 10 * time.Second, ColdShare: 0.16,
 		RampTime: 20 * time.Second, FallMultiple: 2.5, FallWindow: time.Second,
-		GoalWhole: 0.55, GoalWindow: 0.15, GoalClass: 0.3, CrossZonePrice: 0.02,
+		GoalWhole: 0.55, GoalWindow: 0.15, GoalClass: 0.3, CrossZonePrice: 0.02, WarmKeys: true,
 	}
 	if o := b.Events[0].Open; o == nil || o.Seed != 77 || !reflect.DeepEqual(o.Settings, want) {
 		t.Errorf("got %+v\nwant %+v", o, want)
--- a/state.go
+++ b/state.go
@@ -118,12 +118,30 @@
 	retries  int
 	failed   *backend // the backend that failed it last
 	timer    int64    // the token of its latest timer; earlier ones are void
+	key      uint64   // a hash of what it concerns; 0: unknown
 	repeat   bool     // a later try of the client: part of its aim has passed
 	passed   bool     // found no backend in this step
 
 	waiting, holding, stream, ended bool // for its backoff; for room; being answered; done with
 }
 
+// unit is what worth is counted by.
+func (b *Balancer) unit(c *classState) float64 {
+	if b.s.ByWork {
+		return c.latency
+	}
+	return 1
+}
+
+// distance is a number above 0, up to 1, for a key and a backend: the same at every agent, and for
+// each key spread evenly over the backends in an order of its own.
+func (t *backend) distance(key uint64) float64 {
+	h := (uint32(key) ^ uint32(key>>32) ^ t.key) * 0x9e3779b1
+	h = (h ^ h>>15) * 0x85ebca6b
+	h = (h ^ h>>13) * 0xc2b2ae35
+	return (float64(h^h>>16) + 1) / (1 << 32)
+}
+
 // without removes one element, keeping the order.
 func without[T comparable](list []T, x T) []T {
 	if i := slices.Index(list, x); i >= 0 {
