Learn the time that backends need to get warm, and give what it tells to their budgets

To blame: measure() counted by warmth() what coldRoom() forbade by sure(), and a multiple of the sure share is wrong at all ages but one. Now the part of the stated ramp time that backends need is learned, so that a fresh one counts as cold whatever was learned; budget and limit both follow it, and the stated multiple bounds how far it is believed (coldTrust).

TestAnswersTellWarmth plays both kinds for as long; the longer play of slow ones made them warmer by age.

--- a/brookferry.go
+++ b/brookferry.go
@@ -38,6 +38,7 @@
 	meetAgain    = 4.0  // longest aims within which an agent means to meet a backend again
 	widthLeast   = 3    // idle backends at least among which a choice is made
 	crossBias    = 0.25 // chance of an idle backend in another zone, if crossing is priced
+	coldTrust    = 0.6  // power of the stated multiple up to which a cold backend's answers are believed
 	heavy        = 2.0  // a cold backend gets no request of more than so many times the mean work
 
 	aimedDelay   = 0.35 // mean latency, as a share of the aim, above which less is kept in flight
@@ -89,8 +90,7 @@
 	up       int     // backends that the list says are up
 	capacity float64 // their number, each counted by its warmth
 	delay    float64 // running mean of latency over aim
-	lag      float64 // running mean of cold backends' slowness times their sure warmth
-	lags     float64 // answers that it rests on
+	ramp     float64 // the part of the stated time that backends seem to need to get warm
 
 	done        decaying // work served over about one fall window, that of a cold backend over its warmth
 	cutAt, born time.Duration
@@ -118,7 +118,7 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
-		perBack: startPerBack, lag: 1, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
+		perBack: startPerBack, ramp: 1, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
 		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, requests: map[string]*request{},
 		timers: map[int64]*request{}, watched: map[int64]*attempt{}, fits: make([][]float64, len(s.Classes))}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
@@ -553,10 +553,9 @@
 		c.latency = blend(c.latency, max(mean, 1))
 		if !a.late {
 			fit := b.fit(t, r.class)
-			if slow := min(raw/a.cost, slowBound); t.cold {
-				b.lags++
-				b.lag += max(smooth, 1/(b.lags+2*priorSamples)) * (slow / *fit * b.sure(t) - b.lag)
-			} else {
+			if slow := min(raw/a.cost, slowBound); w < 1 { // as slow as its warmth tells, in the mean
+				b.ramp = min(1, b.ramp*max(0.5, 1+smooth*(slow / *fit * w - 1)))
+			} else if !t.cold {
 				*fit += smooth * (slow - *fit)
 			}
 			b.learnSpeed(t, lat/a.cost / *fit)
@@ -682,10 +681,12 @@
 	t.budget, t.budgetAt = -b.rng.Float64()*b.classes[0].latency, b.now
 }
 
-// warmth is the share of its full capacity that a backend has by now. Departure: the stated start
-// and ramp are the least; how fast cold ones answer tells how much warmer they are.
+// warmth is the share of its full capacity that a backend seems to have by now. Departure: how fast
+// cold ones answer tells what part of the stated time they need, and what they can do beyond the
+// sure share is not left idle; the stated multiple bounds how far that is believed.
 func (b *Balancer) warmth(t *backend) float64 {
-	return min(1, b.sure(t)/max(min(b.lag, 1), 1/max(1, b.s.FallMultiple)))
+	least, sure := b.s.ColdShare, b.sure(t)
+	return min(1, least+(sure-least)/b.ramp, sure*math.Pow(max(1, b.s.FallMultiple), coldTrust))
 }
 
 // sure is the share of its full capacity that a backend surely has by now.
@@ -718,7 +719,7 @@
 // far below the multiple as above the sure capacity, since most have more than that. Where none is
 // warm, what the cold ones serve tells, and one request at a time of all agents is the least.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
-	share := b.sure(t) * math.Sqrt(max(1, b.s.FallMultiple))
+	share := max(b.warmth(t), b.sure(t)*math.Sqrt(max(1, b.s.FallMultiple)))
 	if !t.cold {
 		return true
 	}
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -744,7 +744,7 @@
 			if r.sent[id][0] < "g" {
 				latency = cold
 			}
-			r.now += latency
+			r.now += 100 * ms // both plays last as long
 			r.outcome(id, brookferry.OK, latency)
 		}
 		for i := range 100 { // and nothing is answered
@@ -754,7 +754,7 @@
 		}
 		return sent
 	}
-	if fast, slow := play(40*ms), play(200*ms); fast < slow*5/4 {
+	if fast, slow := play(40*ms), play(300*ms); fast < slow*5/4 {
 		t.Errorf("%d in flight with cold backends as fast as warm ones, %d with slow ones", fast, slow)
 	}
 }
