Cut the in-flight limit by how far the delay has passed the aimed one

To blame: pace() cuts by a tenth and no oftener than once in the mean latency, which a jam itself makes longer. A cut now takes off what the delay is past the aimed one, a tenth at least.

--- a/brookferry.go
+++ b/brookferry.go
@@ -660,7 +660,7 @@
 	b.delay += weight * (min(share, 2) - b.delay)
 	switch {
 	case b.delay > aimedDelay && b.now-b.cutAt > time.Duration(b.classes[0].latency):
-		b.perBack = max(floorPerBack, b.perBack*limitCut)
+		b.perBack = max(floorPerBack, b.perBack*min(limitCut, aimedDelay/b.delay))
 		b.cutAt = b.now
 	case b.delay < aimedDelay && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
 		b.perBack += limitGrow / b.limit()
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -759,6 +759,42 @@
 	}
 }
 
+// join+vast: backends jam within two seconds, and by a tenth a round the limit fell by half in three.
+// It is cut by how far the delay has passed the aimed one.
+func TestLimitFallsWithAJam(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(10))
+	play := func(latency time.Duration, n int) (out int) { // 150 requests at once: how many go out?
+		answered := map[string]bool{}
+		id := func(i int) string { return fmt.Sprint(latency, "-", n, "-", i) }
+		for i := range 150 {
+			r.request(id(i), safe)
+			out += len(r.sent[id(i)])
+		}
+		for going := true; going; { // those that were held go out as others are answered
+			going = false
+			r.advance(latency)
+			for i := range 150 {
+				if len(r.sent[id(i)]) > 0 && !answered[id(i)] {
+					answered[id(i)], going = true, true
+					r.outcome(id(i), brookferry.OK, latency)
+				}
+			}
+		}
+		return out
+	}
+	full := 0
+	for n := range 6 {
+		full = play(60*ms, n)
+	}
+	jammed := 0
+	for n := range 4 {
+		jammed = play(360*ms, n)
+	}
+	if full < 40 || jammed > full*2/3 {
+		t.Errorf("%d in flight before a jam, %d after three slow rounds", full, jammed)
+	}
+}
+
 // Incidents i37feae and i28e3f7: under overload a cold backend gets more than its sure share of
 // what a warm one serves, and stays well below the stated multiple of it.
 func TestColdShareUnderOverload(t *testing.T) {
