Let the in-flight limit grow by what is left to the aimed delay

To blame: pace() grew the limit at full speed right up to the aimed delay. It slows down as the delay nears it now.

--- a/brookferry.go
+++ b/brookferry.go
@@ -663,7 +663,7 @@
 		b.perBack = max(floorPerBack, b.perBack*min(limitCut, aimedDelay/b.delay))
 		b.cutAt = b.now
 	case b.delay < aimedDelay && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
-		b.perBack += limitGrow / b.limit()
+		b.perBack += limitGrow / b.limit() * (1 - b.delay/aimedDelay)
 	}
 }
 
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -759,42 +759,62 @@
 	}
 }
 
-// join+vast: backends jam within two seconds, and by a tenth a round the limit fell by half in three.
-// It is cut by how far the delay has passed the aimed one.
-func TestLimitFallsWithAJam(t *testing.T) {
-	r := newRig(t, settings(), 1, backends(10))
-	play := func(latency time.Duration, n int) (out int) { // 150 requests at once: how many go out?
-		answered := map[string]bool{}
-		id := func(i int) string { return fmt.Sprint(latency, "-", n, "-", i) }
+// rush sends 150 requests at once and answers what goes out, and what was held and goes out later,
+// after a latency each. It returns how many went out at first.
+func (r *rig) rush(name string, latency time.Duration) (out int) {
+	answered := map[string]bool{}
+	id := func(i int) string { return fmt.Sprint(name, "-", i) }
+	for i := range 150 {
+		r.request(id(i), safe)
+		out += len(r.sent[id(i)])
+	}
+	for going := true; going; {
+		going = false
+		r.advance(latency)
 		for i := range 150 {
-			r.request(id(i), safe)
-			out += len(r.sent[id(i)])
-		}
-		for going := true; going; { // those that were held go out as others are answered
-			going = false
-			r.advance(latency)
-			for i := range 150 {
-				if len(r.sent[id(i)]) > 0 && !answered[id(i)] {
-					answered[id(i)], going = true, true
-					r.outcome(id(i), brookferry.OK, latency)
-				}
+			if len(r.sent[id(i)]) > 0 && !answered[id(i)] {
+				answered[id(i)], going = true, true
+				r.outcome(id(i), brookferry.OK, latency)
 			}
 		}
-		return out
 	}
-	full := 0
+	return out
+}
+
+// join+vast: backends jam within two seconds, and by a tenth a round the limit fell by half in three.
+// It is cut by how far the delay has passed the aimed one.
+func TestLimitFallsWithAJam(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(10))
+	full, jammed := 0, 0
 	for n := range 6 {
-		full = play(60*ms, n)
+		full = r.rush(fmt.Sprint("calm", n), 60*ms)
 	}
-	jammed := 0
 	for n := range 4 {
-		jammed = play(360*ms, n)
+		jammed = r.rush(fmt.Sprint("jam", n), 360*ms)
 	}
 	if full < 40 || jammed > full*2/3 {
 		t.Errorf("%d in flight before a jam, %d after three slow rounds", full, jammed)
 	}
 }
 
+// join+vast: the limit grew at full speed until the delay, which is seen late, had passed the aimed
+// one, and by then the backends were jammed. It grows by what is left to the aimed delay.
+func TestLimitGrowsByWhatIsLeft(t *testing.T) {
+	grown := func(latency time.Duration) int {
+		r := newRig(t, settings(), 1, backends(10))
+		first, last := 0, 0
+		for n := range 5 {
+			if last = r.rush(fmt.Sprint(n), latency); n == 0 {
+				first = last
+			}
+		}
+		return last - first
+	}
+	if far, near := grown(30*ms), grown(125*ms); near > far/2 {
+		t.Errorf("the limit grows by %d far below the aimed delay, by %d near it", far, near)
+	}
+}
+
 // Incidents i37feae and i28e3f7: under overload a cold backend gets more than its sure share of
 // what a warm one serves, and stays well below the stated multiple of it.
 func TestColdShareUnderOverload(t *testing.T) {
