Forget backends that are gone once nothing is out at them

To blame: onList() marked a backend gone and kept it. One listed anew starts anew, by the start that the list tells.

--- a/api.go
+++ b/api.go
@@ -7,7 +7,7 @@
 // A Balancer belongs to one goroutine. All times are durations on the agent's
 // own monotonic clock, whose zero is of no matter; they must not run backwards.
 // Its memory is bounded by the requests and attempts that are open, the timers
-// that are pending and the backends that were ever listed.
+// that are pending and the backends that are listed or have attempts out.
 package brookferry
 
 import "time"
--- a/brookferry.go
+++ b/brookferry.go
@@ -374,8 +374,7 @@
 	if b.notesOn() {
 		part *= aimedDelay / aimedAlone
 	}
-	b.credit += b.expected(r) * min(part*part, thinMost)
-	b.credit = min(b.credit, thinBurst*b.classes[r.class].latency)
+	b.credit = min(b.credit+b.expected(r)*min(part*part, thinMost), thinBurst*b.classes[r.class].latency)
 }
 
 // value is what a unit of work spent on a class now adds to the operator's goal.
@@ -536,15 +535,13 @@
 		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
 			b.start(t, b.now)
 		}
-		t.down = false
+		t.down, t.seen = false, true
 		t.fail(0)
-		w := b.warmth(t)
-		raw := lat
+		w, raw := b.warmth(t), lat
 		lat = max(lat*w, min(lat, a.cost)) // a cold one is slow by that: the rest tells of its queue
 		b.done.add(b.now, a.cost/w)
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
-		t.seen = true
 		b.write(note{t.key, byte(min(lat/a.cost, slowBound-0.1) * noteStep), b.now})
 		mean := lat // for mean work: a heavy request tells of no queue
 		if r.work > 0 && c.work > 0 {
@@ -769,11 +766,18 @@
 		t.Backend = n
 	}
 	slices.SortStableFunc(b.backends, func(x, y *backend) int { return cmp.Compare(x.rank, y.rank) })
-	for _, t := range b.backends {
+	// One that is gone is kept no longer than its attempts are out: fleets are replaced again and again.
+	b.backends = slices.DeleteFunc(b.backends, func(t *backend) bool {
 		if e.Kind != ListDelta && !listed[t.ID] {
 			t.State = Gone
 		}
-	}
+		over := t.State == Gone && len(t.out) == 0
+		if over {
+			delete(b.byID, t.ID)
+			delete(b.byKey, t.key)
+		}
+		return over
+	})
 }
 
 // ---- Peers ----
@@ -880,9 +884,7 @@
 		aim := float64(b.classes[r.class].Aim)
 		b.watched[b.alarm(time.Duration(min(aim, max(overdueAt*aim, overdueCost*a.cost))))] = a
 	}
-	if t.cold {
-		t.budget -= a.cost
-	}
+	t.budget -= a.cost // tells while it is cold
 	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
 }
 
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -1568,6 +1569,36 @@
 	}
 }
 
+// A fleet replaced again and again leaves nothing behind: what a step costs, and what is kept, follows
+// the backends that are listed, not those that ever were.
+func TestGoneBackendsAreForgotten(t *testing.T) {
+	var before, after runtime.MemStats
+	r := newRig(t, settings(), 1, nil)
+	replace := func(n int) {
+		for i := range 100 {
+			list := brookferry.List{Kind: brookferry.ListKind(i % 2)} // changes and whole lists in turn
+			for k := range 20 {
+				id := fmt.Sprintf("%03d-%03d-%02d-%s", n, i, k, strings.Repeat("x", 1000))
+				list.Backends = append(list.Backends, brookferry.Backend{ID: id, State: brookferry.BackendState(2 * (k % 2))})
+			}
+			r.step(list)
+		}
+		r.step(brookferry.List{Kind: brookferry.ListFull})
+	}
+	replace(0)
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for n := range 10 {
+		replace(1 + n)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 2<<20 { // 20 MB of names were listed
+		t.Errorf("%d bytes are kept of backends that are gone", grown)
+	}
+	runtime.KeepAlive(r)
+}
+
 // Events about things unknown, late or repeated do nothing.
 func TestStrayEvents(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(2))
