Bound what is learned of the time that backends need to get warm

Each fast answer of a cold backend takes up to a tenth off the learned part of the stated time, without end: after a few thousand it takes as many slow ones to unlearn it, and after some ten thousand it is 0, which makes the warmth of a backend that started in this very step no number, and the mean delay with it, for good.

To blame: observe(), which bounded it from above alone. It is at least 1/slowBound now, as no sample says more than that.

--- a/brookferry.go
+++ b/brookferry.go
@@ -551,7 +551,7 @@
 		if !a.late {
 			fit := b.fit(t, r.class)
 			if slow := min(raw/a.cost, slowBound); w < 1 { // as slow as its warmth tells, in the mean
-				b.ramp = min(1, b.ramp*max(0.5, 1+smooth*(slow / *fit * w - 1)))
+				b.ramp = min(1, max(1/slowBound, b.ramp*(1+smooth*(slow / *fit * w - 1))))
 			} else if !t.cold {
 				*fit += smooth * (slow - *fit)
 			}
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -816,6 +816,44 @@
 	}
 }
 
+// However often cold backends answered faster than they might, slow ones of a later start are soon
+// taken for cold again.
+func TestLearnedWarmthIsBounded(t *testing.T) {
+	play := func(before int) (sent int) {
+		list := backends(8)
+		s := settings()
+		s.RampTime = 10 * time.Minute
+		r := newRig(t, s, 9, list)
+		serve := func(n int, cold time.Duration) {
+			for i := range 6 {
+				list[i].Started = r.now
+			}
+			r.step(brookferry.List{Kind: brookferry.ListDelta, Backends: list})
+			for range n {
+				id := fmt.Sprint("q", len(r.sent))
+				r.request(id, safe)
+				latency := 40 * ms
+				if r.sent[id][0] < "g" {
+					latency = cold
+				}
+				r.now += 100 * ms
+				r.outcome(id, brookferry.OK, latency)
+			}
+		}
+		serve(before, 40*ms)
+		serve(300, 300*ms)
+		for i := range 100 { // and nothing is answered
+			id := fmt.Sprint("all", i)
+			r.request(id, safe)
+			sent += len(r.sent[id])
+		}
+		return sent
+	}
+	if fresh, old := play(0), play(5000); old > fresh*5/4 {
+		t.Errorf("%d in flight at slow cold backends, %d by what was learned from fast ones long ago", fresh, old)
+	}
+}
+
 // Incidents i37feae and i28e3f7: under overload a cold backend gets more than its sure share of
 // what a warm one serves, and stays well below the stated multiple of it.
 func TestColdShareUnderOverload(t *testing.T) {
