Take operators' calls that put a backend out of use into the module

A detached backend drains whatever the list says; the call back counts as a start and forgives what was learned. Ruled out: a longer look at the agent's own order (width), which would cost a quiet agent a connection for nearly every attempt.

--- a/api.go
+++ b/api.go
@@ -148,6 +148,20 @@
 		Latency time.Duration
 		Load    Load
 	}
+	// Detach is an operator's call: nothing more goes to this backend until Attach, whatever the
+	// list says meanwhile. An Answer follows in the same step.
+	Detach struct {
+		Call    int64 // names the call in the Answer
+		Backend string
+		Carried bool // taken by another process of this agent: the id need not be listed here
+	}
+	// Attach is the call that ends any number of Detach. The backend counts as started then.
+	Attach struct {
+		Call    int64
+		Backend string
+		Carried bool
+		At      time.Duration // when it was taken; 0: now
+	}
 	// TimerFired says that a SetTimer has come due.
 	TimerFired struct{ Token int64 }
 	// PeerMessage carries bytes from another agent.
@@ -218,6 +232,11 @@
 	}
 	// Subscribe asks that list changes be delivered from now on.
 	Subscribe struct{}
+	// Answer ends an operator's call: taken and kept to from now on, or not taken.
+	Answer struct {
+		Call  int64
+		Taken bool // false: no backend has that id
+	}
 )
 
 func (List) event()          {}
@@ -226,6 +245,8 @@
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
+func (Detach) event()        {}
+func (Attach) event()        {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
 
@@ -237,3 +258,4 @@
 func (Probe) action()     {}
 func (TellPeer) action()  {}
 func (Subscribe) action() {}
+func (Answer) action()    {}
--- a/brookferry.go
+++ b/brookferry.go
@@ -1,10 +1,10 @@
 package brookferry
 
-// This is the decision module: every choice a balancer makes is in this file. Its interface
-// (settings, events, actions) is in api.go, its records in state.go, the form of messages to
-// peers in message.go. Reading order: constants, event dispatch (Step), picking, retry and the
-// repeat rule, health, cold start, list following, peers, and last send and finish, which alone
-// start attempts and end requests, and check the four rules.
+// This is the decision module: every choice a balancer makes is in this file, those on operators'
+// calls in operations.go. Its interface (settings, events, actions) is in api.go, its records in
+// state.go, the form of messages to peers in message.go. Reading order: constants, event dispatch
+// (Step), picking, retry and the repeat rule, health, cold start, list following, peers, and last
+// send and finish, which alone start attempts and end requests, and check the four rules.
 
 import (
 	"cmp"
@@ -110,6 +110,7 @@
 
 	gap    float64 // mean time between requests, ns
 	lastAt time.Duration
+	calls  calls // of operators, that hold
 }
 
 // New returns a balancer with no state. All its random choices come from seed.
@@ -153,14 +154,12 @@
 			b.measure()
 		case PeerMessage:
 			b.onPeer(e)
-		case StreamStarted:
-			if r := b.requests[e.Request]; r != nil && !r.ended {
-				r.stream = true
-			}
 		case Abandoned:
 			if r := b.requests[e.Request]; r != nil {
 				b.close(r)
 			}
+		default:
+			b.onOperations(e)
 		}
 	}
 	b.releaseHeld()
@@ -320,7 +319,7 @@
 			break
 		}
 		r := b.held[best]
-		if t := b.pick(r); t != nil {
+		if t := b.choose(r); t != nil {
 			b.unhold(r)
 			b.send(r, t)
 		} else {
@@ -716,13 +715,12 @@
 // far below the multiple as above the sure capacity, since most have more than that. Where none is
 // warm, what the cold ones serve tells, and one request at a time of all agents is the least.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
-	share := max(b.warmth(t), b.sure(t)*math.Sqrt(max(1, b.s.FallMultiple)))
+	rate := b.coldRate(t)
 	if !t.cold {
 		return true
 	}
 	mean := b.classes[r.class].latency
-	rate := max(b.done.sum(b.now)/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
-	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
+	t.budget = min(t.budget+rate*float64(b.now-t.budgetAt), mean)
 	t.budgetAt = b.now
 	return t.budget > 0 && b.expected(r) <= heavy*mean
 }
@@ -747,7 +745,7 @@
 		b.askFails = 0
 	}
 	listed := map[string]bool{}
-	for _, n := range e.Backends {
+	for _, n := range b.heed(e.Backends) {
 		listed[n.ID] = true
 		t := b.byID[n.ID]
 		if t == nil {
--- /dev/null
+++ b/operations.go
@@ -0,0 +1,140 @@
+package brookferry
+
+// The decisions on operators' calls: which backends are out of use by their word, and how one
+// comes back.
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	backWithin = 3 * time.Second // a backend that was called back is used by then: operators expect it within 5 s
+	backTries  = 5 * time.Second // and for so long the first request that may go there does
+)
+
+// calls is what operators said of backends, by id. The list knows nothing of it and ends none of it.
+type calls struct {
+	detached map[string]BackendState  // with the state that the list last told
+	returned map[string]time.Duration // when they were called back, while that still makes them cold
+}
+
+// onOperations takes the events that operators cause, and those of large answers.
+func (b *Balancer) onOperations(e Event) {
+	switch e := e.(type) {
+	case Detach:
+		b.onDetach(e)
+	case Attach:
+		b.onAttach(e)
+	case StreamStarted:
+		if r := b.requests[e.Request]; r != nil && !r.ended {
+			r.stream = true
+		}
+	}
+}
+
+// has reports whether a call may name this id.
+func (b *Balancer) has(id string) bool {
+	_, out := b.calls.detached[id]
+	_, back := b.calls.returned[id]
+	return out || back || b.byID[id] != nil
+}
+
+func (b *Balancer) onDetach(e Detach) {
+	taken := e.Carried || b.has(e.Backend)
+	if _, out := b.calls.detached[e.Backend]; taken && !out {
+		if b.calls.detached == nil {
+			b.calls.detached = map[string]BackendState{}
+		}
+		b.calls.detached[e.Backend] = Up
+		if t := b.byID[e.Backend]; t != nil {
+			b.calls.detached[e.Backend] = t.State
+			t.State = max(t.State, Draining) // no new attempt; what is out may finish
+		}
+		b.measure()
+	}
+	b.actions = append(b.actions, Answer{Call: e.Call, Taken: taken})
+}
+
+func (b *Balancer) onAttach(e Attach) {
+	taken := e.Carried || b.has(e.Backend)
+	if state, out := b.calls.detached[e.Backend]; out {
+		delete(b.calls.detached, e.Backend)
+		b.comeBack(e.Backend, state, e.At)
+	} else if e.Carried && e.At > b.calls.returned[e.Backend] {
+		b.comeBack(e.Backend, Up, e.At)
+	}
+	b.actions = append(b.actions, Answer{Call: e.Call, Taken: taken})
+}
+
+// comeBack has a backend in use again, in the state that the list tells. Operators restart it while
+// it is out, and the list may tell of that late or never: it counts as started now, and nothing that
+// was learned of the process before is held against it.
+func (b *Balancer) comeBack(id string, state BackendState, at time.Duration) {
+	if at == 0 {
+		at = b.now
+	}
+	if b.calls.returned == nil {
+		b.calls.returned = map[string]time.Duration{}
+	}
+	b.calls.returned[id] = at
+	t := b.byID[id]
+	if t == nil {
+		return
+	}
+	if t.State != Gone {
+		t.State = state
+	}
+	t.Started = max(t.Started, at)
+	b.start(t, max(t.Started, t.warmFrom))
+	t.strikes, t.ejected, t.struckAt, t.fullTill = 0, 0, 0, 0
+	t.down, t.silent, t.row, t.fails = false, 0, 0, 0
+	// Its budget begins below nothing, so that agents called at once don't all send at once. With little
+	// traffic it would take longer to fill than operators wait.
+	t.budget = max(t.budget, -b.coldRate(t)*float64(backWithin)*b.rng.Float64())
+	b.measure()
+}
+
+// heed puts a list under the operators' calls: a detached backend drains, whatever the list says, and
+// one that was called back started no earlier than then.
+func (b *Balancer) heed(list []Backend) []Backend {
+	heeded := append([]Backend(nil), list...)
+	for i := range heeded {
+		n := &heeded[i]
+		if _, out := b.calls.detached[n.ID]; out {
+			b.calls.detached[n.ID] = n.State
+			n.State = max(n.State, Draining)
+		}
+		if at, back := b.calls.returned[n.ID]; back {
+			n.Started = max(n.Started, at)
+		}
+	}
+	for id, at := range b.calls.returned {
+		if b.now-at > b.s.RampTime {
+			delete(b.calls.returned, id)
+		}
+	}
+	return heeded
+}
+
+// choose picks a backend for a request. Departure: a backend that was called back goes before idle
+// ones until it has answered: spread thin, an agent would pass by a cold one for longer than operators
+// wait. Its cold budget holds all the same.
+func (b *Balancer) choose(r *request) *backend {
+	if len(b.calls.returned) > 0 {
+		for _, t := range b.backends {
+			at, back := b.calls.returned[t.ID]
+			if back && b.now-at < backTries && !t.seen && t.State == Up && t != r.failed && len(t.out) == 0 &&
+				b.now >= t.fullTill && b.mayRepeat(r, t) && b.healthy(t, r) && b.coldRoom(t, r) {
+				return t
+			}
+		}
+	}
+	return b.pick(r)
+}
+
+// coldRate is the work that a cold backend may be sent for each unit of time.
+func (b *Balancer) coldRate(t *backend) float64 {
+	share := max(b.warmth(t), b.sure(t)*math.Sqrt(max(1, b.s.FallMultiple)))
+	return share * max(b.done.sum(b.now)/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
+}
--- /dev/null
+++ b/operations_test.go
@@ -0,0 +1,196 @@
+package brookferry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"brookferry"
+)
+
+// call makes an operator's call and returns whether it was taken.
+func (r *rig) call(e brookferry.Event) bool {
+	r.t.Helper()
+	taken, answers := false, 0
+	for _, a := range r.step(e) {
+		if a, ok := a.(brookferry.Answer); ok {
+			taken = a.Taken
+			answers++
+		}
+	}
+	if answers != 1 {
+		r.t.Fatalf("%d answers to %+v", answers, e)
+	}
+	return taken
+}
+
+// A detached backend gets nothing, whatever the list says, until the one call back that ends any
+// number of calls out.
+func TestDetachedBackendGetsNothing(t *testing.T) {
+	list := backends(3)
+	started := slices.Clone(list)
+	started[0].Started = time.Hour + 100*ms
+	for name, told := range map[string][]brookferry.List{
+		"no list":       nil,
+		"full list":     {{Kind: brookferry.ListFull, Backends: list}},
+		"delta":         {{Kind: brookferry.ListDelta, Backends: list[:1]}},
+		"cached list":   {{Kind: brookferry.ListCached, Backends: list}},
+		"a restart":     {{Kind: brookferry.ListDelta, Backends: started}},
+		"gone and back": {{Kind: brookferry.ListFull, Backends: list[1:]}, {Kind: brookferry.ListFull, Backends: list}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, settings(), 1, list)
+			r.serve(20, safe, 10*ms)
+			if !r.call(brookferry.Detach{Call: 1, Backend: "a"}) || !r.call(brookferry.Detach{Call: 2, Backend: "a"}) {
+				t.Fatal("not taken")
+			}
+			for _, l := range told {
+				r.step(l)
+			}
+			if n := r.serve(60, safe, 10*ms)["a"]; n > 0 {
+				t.Errorf("%d requests went to the detached backend", n)
+			}
+			if !r.call(brookferry.Attach{Call: 3, Backend: "a"}) {
+				t.Fatal("the call back was not taken")
+			}
+			r.now += settings().RampTime
+			if n := r.serve(60, safe, 10*ms)["a"]; n == 0 {
+				t.Error("none went to it after the call back")
+			}
+		})
+	}
+}
+
+// No retry goes there either, and with every backend detached a request gets its answer in the
+// ordinary way.
+func TestNothingIsRetriedAtADetachedBackend(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("q", safe)
+	other := map[string]string{"a": "b", "b": "a"}[r.sent["q"][0]]
+	r.call(brookferry.Detach{Call: 1, Backend: other})
+	r.outcome("q", brookferry.Errored, 10*ms)
+	r.advance(400 * ms)
+	if slices.Contains(r.sent["q"], other) {
+		t.Errorf("attempts %v, though %s is detached", r.sent["q"], other)
+	}
+	for _, id := range []string{"a", "b"} {
+		r.call(brookferry.Detach{Call: 2, Backend: id})
+	}
+	all := r.request("last", safe)
+	if all = append(all, r.advance(400*ms)...); len(r.sent["last"]) > 0 || final("last", all) != "refuse" {
+		t.Errorf("sent to %v, final answer %q", r.sent["last"], final("last", all))
+	}
+}
+
+// An id that nobody has is owed a no; one that left the list while it was detached is known.
+func TestCallsForUnknownBackends(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	if r.call(brookferry.Detach{Call: 1, Backend: "z"}) || r.call(brookferry.Attach{Call: 2, Backend: "z"}) {
+		t.Error("a call for an id that nobody has was taken")
+	}
+	if !r.call(brookferry.Attach{Call: 3, Backend: "a"}) {
+		t.Error("the call back of a backend in use was not taken")
+	}
+	r.call(brookferry.Detach{Call: 4, Backend: "a"})
+	r.step(brookferry.List{Kind: brookferry.ListFull, Backends: backends(2)[1:]})
+	if !r.call(brookferry.Attach{Call: 5, Backend: "a"}) {
+		t.Error("the call back of a detached backend that has left the list was not taken")
+	}
+}
+
+// What another process of the agent was told holds here, also before the list names the backend.
+func TestCarriedCallsHold(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2)[1:])
+	if !r.call(brookferry.Detach{Call: 1, Backend: "a", Carried: true}) {
+		t.Fatal("not taken")
+	}
+	r.step(brookferry.List{Kind: brookferry.ListFull, Backends: backends(2)})
+	if n := r.serve(60, safe, 10*ms)["a"]; n > 0 {
+		t.Errorf("%d requests went to the detached backend", n)
+	}
+	// Called back elsewhere a while ago: it is as far from warm as that tells.
+	at := r.now - settings().RampTime
+	r.call(brookferry.Attach{Call: 2, Backend: "a", Carried: true, At: at})
+	if n := r.serve(90, safe, 10*ms)["a"]; n < 20 {
+		t.Errorf("%d of 90 requests went to a backend that has had time to get warm", n)
+	}
+}
+
+// A backend that was called back is cold, with nothing of before held against it.
+func TestAttachedBackendIsColdAndForgiven(t *testing.T) {
+	cold := func(attach bool) int {
+		s := settings()
+		s.ColdShare = 0.05
+		r := newRig(t, s, 1, backends(4))
+		r.serve(200, safe, 10*ms)
+		if attach {
+			r.call(brookferry.Detach{Call: 1, Backend: "a"})
+			r.call(brookferry.Attach{Call: 2, Backend: "a"})
+		}
+		return r.serve(200, safe, 10*ms)["a"]
+	}
+	if warm, back := cold(false), cold(true); back == 0 || back > warm/2 {
+		t.Errorf("%d requests to a backend just called back, %d to a warm one", back, warm)
+	}
+	r := newRig(t, settings(), 1, backends(2))
+	for i := 0; len(r.sent) < 400; i++ { // "a" fails all it gets, and is ejected for longer and longer
+		id := fmt.Sprint("f", i)
+		r.request(id, unsafe)
+		result := brookferry.OK
+		if r.sent[id][0] == "a" {
+			result = brookferry.Errored
+		}
+		r.now += 10 * ms
+		r.outcome(id, result, 10*ms)
+	}
+	r.call(brookferry.Detach{Call: 1, Backend: "a"})
+	r.call(brookferry.Attach{Call: 2, Backend: "a"})
+	r.now += settings().RampTime
+	if n := r.serve(60, unsafe, 10*ms)["a"]; n < 15 {
+		t.Errorf("%d of 60 requests went to a backend that was restarted since it failed", n)
+	}
+}
+
+// Operators wait 5 s for a backend that they called back to be used, also where an agent with
+// little traffic keeps to a few others, and each key to the few nearest to it.
+func TestAttachedBackendIsSoonUsed(t *testing.T) {
+	for seed := range uint64(20) {
+		s := settings()
+		s.Balancers = []int{5, 100}[seed%2]
+		s.ColdShare, s.RampTime, s.WarmKeys, s.CrossZonePrice = 0.12, 24*time.Second, true, 0.03
+		r := newRig(t, s, seed, backends(20))
+		ask := func() string {
+			id := fmt.Sprint("q", len(r.sent))
+			r.step(brookferry.Request{ID: id, Class: unsafe, Left: 2000 * ms, Key: 7})
+			r.now += 20 * ms
+			r.outcome(id, brookferry.OK, 20*ms)
+			r.advance(230 * ms)
+			return r.sent[id][0]
+		}
+		for range 40 {
+			ask()
+		}
+		// One far down this agent's order and far from the key.
+		used := map[string]bool{}
+		for range 40 {
+			used[ask()] = true
+		}
+		far := "a"
+		for _, b := range backends(20) {
+			if !used[b.ID] {
+				far = b.ID
+			}
+		}
+		r.call(brookferry.Detach{Call: 1, Backend: far})
+		r.advance(time.Second)
+		r.call(brookferry.Attach{Call: 2, Backend: far})
+		from, found := r.now, false
+		for r.now < from+4*time.Second && !found {
+			found = ask() == far
+		}
+		if !found {
+			t.Errorf("seed %d: %s was left unused for 4 s after the call back", seed, far)
+		}
+	}
+}
