--- /dev/null
+++ b/internal/agent/admin.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// admin is the operators' door: one call a connection, a 2xx answer is yes, a 4xx or 5xx no.
+type admin struct {
+	log      *slog.Logger
+	loop     *loop
+	front    *front
+	listener net.Listener
+	server   *http.Server
+	lobby    lobby
+	record   func(standing) error // where a successor finds it; may be nil
+	within   time.Duration        // an answer is given
+}
+
+const (
+	doorTimeout = 5 * time.Second        // for a call to come whole
+	callWithin  = 800 * time.Millisecond // an answer is due within 1 s of the call
+	maxCall     = 4 << 10                // bytes of a call's body
+)
+
+// standing is a word of the operators that holds until they take it back.
+type standing struct {
+	backend string // "": of the agent itself
+	out     bool   // detached, or drained
+	at      time.Time
+}
+
+func newAdmin(cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
+	a := &admin{log: log, loop: l, front: f, lobby: newLobby(), within: callWithin}
+	ln, err := listenTCP(cfg.Mgmt)
+	if err != nil {
+		return nil, fmt.Errorf("mgmt: %w", err)
+	}
+	limited := newLimitListener(ln, doorSockets)
+	limited.full = a.lobby.makeRoom // who calls and says nothing must not keep out those who would
+	a.listener = limited
+	a.server = &http.Server{
+		Handler:        a,
+		ReadTimeout:    doorTimeout,
+		WriteTimeout:   doorTimeout + 2*callWithin,
+		MaxHeaderBytes: maxCall,
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnState:      a.lobby.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, c)
+		},
+	}
+	a.server.SetKeepAlivesEnabled(false)
+	return a, nil
+}
+
+type callerKey struct{}
+
+// run answers calls until ctx ends.
+func (a *admin) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { a.server.Close() })
+	defer stop()
+	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		a.log.Error("the operators' door is shut", "error", err)
+	}
+}
+
+// calls are the paths that may be called, with their methods.
+var calls = map[string]string{
+	"/_ready":           http.MethodGet,
+	"/_backends/detach": http.MethodPut,
+	"/_backends/attach": http.MethodPut,
+	"/_lameduck/on":     http.MethodPut,
+	"/_lameduck/off":    http.MethodPut,
+}
+
+// ServeHTTP answers one call. It acts once the call has come whole.
+func (a *admin) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	method, known := calls[hr.URL.Path]
+	if !known {
+		http.Error(w, "no such call", http.StatusNotFound)
+		return
+	}
+	if hr.Method != method {
+		w.Header().Set("Allow", method)
+		http.Error(w, "this call takes "+method, http.StatusMethodNotAllowed)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxCall))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		http.Error(w, "the call is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		http.Error(w, "the call can't be read", http.StatusBadRequest)
+		return
+	}
+	if c, ok := hr.Context().Value(callerKey{}).(net.Conn); ok && !a.lobby.takes(c) {
+		panic(http.ErrAbortHandler) // closed to make room before it was whole
+	}
+	switch hr.URL.Path {
+	case "/_ready":
+		if !a.front.taking.Load() {
+			http.Error(w, "takes no clients", http.StatusServiceUnavailable)
+			return
+		}
+	case "/_lameduck/on", "/_lameduck/off":
+		on := hr.URL.Path == "/_lameduck/on"
+		a.keep(standing{out: on})
+		a.front.setLame(on)
+		a.log.Info("lame duck", "on", on)
+	default:
+		a.move(w, hr.Context(), body, hr.URL.Path == "/_backends/detach")
+		return
+	}
+	a.yes(w)
+}
+
+func (a *admin) yes(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = io.WriteString(w, "yes\n") // a caller that is gone needs no answer
+}
+
+// move takes a call about a backend to the module, and says what it said.
+func (a *admin) move(w http.ResponseWriter, ctx context.Context, body []byte, detach bool) {
+	var told struct{ Target *string }
+	if err := json.Unmarshal(body, &told); err != nil || told.Target == nil || *told.Target == "" {
+		http.Error(w, `the call's body must be {"target":"ID"}`, http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.within)
+	defer cancel()
+	taken, err := a.loop.call(ctx, &call{backend: *told.Target, detach: detach})
+	switch {
+	case err != nil:
+		a.log.Warn("a call found no answer in time", "backend", *told.Target, "detach", detach, "error", err)
+		http.Error(w, "no answer in time, call again", http.StatusServiceUnavailable)
+	case !taken:
+		a.log.Info("a call for a backend that nobody has", "backend", *told.Target, "detach", detach)
+		http.Error(w, "no backend has this id", http.StatusNotFound)
+	default:
+		a.keep(standing{backend: *told.Target, out: detach})
+		a.log.Info("backend called", "backend", *told.Target, "detached", detach)
+		a.yes(w)
+	}
+}
+
+// keep records a call for a successor. One that can't be recorded still holds here.
+func (a *admin) keep(s standing) {
+	if a.record == nil {
+		return
+	}
+	s.at = time.Now()
+	if err := a.record(s); err != nil {
+		a.log.Error("a call is not recorded for a successor", "backend", s.backend, "out", s.out, "error", err)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,7 +3,8 @@
 // requests: it neither picks backends nor retries, holds or refuses.
 //
 // The loop (loop.go) owns the module; the front (front.go) serves clients, backends.go makes
-// attempts, discovery.go follows the list, peers.go exchanges datagrams with other agents.
+// attempts, discovery.go follows the list, peers.go exchanges datagrams with other agents, and
+// admin.go takes operators' calls.
 package agent
 
 import (
@@ -25,6 +26,7 @@
 	front     *front
 	backends  *backends
 	discovery *discovery
+	admin     *admin // nil: operators have no door
 	listener  net.Listener
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
 }
@@ -57,20 +59,29 @@
 		}
 	}
 	a.front = newFront(cfg, a.loop, log)
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	if cfg.Mgmt != "" {
+		if a.admin, err = newAdmin(cfg, a.loop, a.front, log); err != nil {
+			return nil, err
+		}
 	}
-	ln, err := net.ListenTCP("tcp", addr)
+	ln, err := listenTCP(cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	limited := newLimitListener(ln, sharedSockets(cfg.Sockets)-backendSockets(cfg.Sockets))
+	limited := newLimitListener(ln, sharedSockets(cfg.shareable())-backendSockets(cfg.shareable()))
 	limited.full = a.front.makeRoom
 	a.listener = limited
 	return a, nil
 }
 
+func listenTCP(text string) (*net.TCPListener, error) {
+	addr, err := net.ResolveTCPAddr("tcp", text)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenTCP("tcp", addr)
+}
+
 // Addr is where clients connect.
 func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
 
@@ -99,6 +110,11 @@
 	if a.loop.peers != nil {
 		running.Go(func() { a.loop.peers.run(ctx, a.loop.post) })
 	}
+	if a.admin != nil {
+		running.Go(func() { a.admin.run(ctx) })
+		running.Go(func() { a.front.empty(ctx) })
+	}
+	a.front.taking.Store(true)
 	served := make(chan error, 1)
 	go func() { served <- a.front.serve(a.listener) }()
 	a.log.Info("serving", "listen", a.listener.Addr().String(), "backends", known)
@@ -114,6 +130,7 @@
 // when nothing is open, or when the platform is about to kill.
 func (a *Agent) drain(served <-chan error) error {
 	a.log.Info("stopping")
+	a.front.taking.Store(false)
 	limit, cancel := context.WithTimeout(context.Background(), a.cfg.longest()+drainSlack)
 	defer cancel()
 	// Closes idle connections at once: a client whose request crosses that opens a new connection,
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -26,6 +26,7 @@
 	errCancelled = errors.New("cancelled")
 	errNoSocket  = errors.New("no file descriptor left for another connection")
 	errMoved     = errors.New("the backend has no address")
+	errDetached  = errors.New("operators have detached the backend")
 )
 
 // message is a client's request as it goes on to backends: the same for every attempt.
@@ -54,6 +55,7 @@
 
 	mu    sync.Mutex
 	addrs map[string]string  // by backend id
+	held  map[string]bool    // nothing is written to these: operators have detached them
 	idle  map[string][]*conn // by backend id, the latest used last
 	open  int                // idle, in use or being dialled
 	reuse reuse
@@ -69,11 +71,11 @@
 }
 
 func newBackends(cfg *Config, log *slog.Logger) *backends {
-	b := &backends{cfg: cfg, log: log, most: backendSockets(cfg.Sockets),
+	b := &backends{cfg: cfg, log: log, most: backendSockets(cfg.shareable()),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		keepIdle: cfg.Site.IdleClose * 3 / 4,
-		addrs:    map[string]string{}, idle: map[string][]*conn{}}
+		addrs:    map[string]string{}, held: map[string]bool{}, idle: map[string][]*conn{}}
 	b.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
@@ -155,9 +157,27 @@
 	}
 }
 
+// withhold has nothing written to a backend any more, or again. Its kept connections are dropped
+// both times: operators restart it in between.
+func (b *backends) withhold(id string, on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if on {
+		b.held[id] = true
+	} else {
+		delete(b.held, id)
+	}
+	b.dropIdle(id)
+}
+
 // forget drops a backend's address and its idle connections. The lock is held.
 func (b *backends) forget(id string) {
 	delete(b.addrs, id)
+	b.dropIdle(id)
+}
+
+// dropIdle closes a backend's idle connections. The lock is held.
+func (b *backends) dropIdle(id string) {
 	for _, c := range b.idle[id] {
 		b.drop(c)
 	}
@@ -175,8 +195,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	addr, ok := b.addrs[id]
-	if !ok {
+	switch {
+	case !ok:
 		return nil, "", errMoved
+	case b.held[id]:
+		return nil, "", errDetached
 	}
 	for n := len(b.idle[id]); n > 0; n = len(b.idle[id]) {
 		c := b.idle[id][n-1]
@@ -200,6 +223,12 @@
 	return c.Err() == nil && idle < b.keepIdle && !b.reuse.doubtful(idle)
 }
 
+func (b *backends) withheld(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held[id]
+}
+
 // learn takes whether the connection broke under its request before any answer.
 func (b *backends) learn(c *conn, broken bool) {
 	b.mu.Lock()
@@ -227,7 +256,7 @@
 func (b *backends) give(id string, c *conn, reusable bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !reusable || c.Err() != nil || b.addrs[id] != c.addr {
+	if !reusable || c.Err() != nil || b.addrs[id] != c.addr || b.held[id] {
 		b.drop(c)
 		return
 	}
@@ -302,6 +331,10 @@
 			return brookferry.NotSent, nil, wire.Load(nil)
 		default:
 		}
+		if b.withheld(id) { // while the connection was being opened: it is not used, and nothing has run
+			b.give(id, c, false)
+			return brookferry.ConnectFailed, nil, wire.Load(nil)
+		}
 		reused := c.idle > 0
 		result, answer, load := b.send(ctx, id, c, m)
 		// A kept connection that had died before the request was written whole tells nothing of
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,6 +19,7 @@
 	Name       string
 	Listen     string // where clients connect
 	Discovery  string
+	Mgmt       string // where operators call; "": nowhere
 	Seed       uint64
 	Cores      float64
 	MemoryMB   int
@@ -71,6 +73,7 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
+		Mgmt       string
 		PeerListen string `json:"peer_listen"`
 		Peers      []string
 		Known      *members
@@ -79,11 +82,12 @@
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Mgmt: f.Mgmt, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		PeerListen: f.PeerListen, Peers: f.Peers, Known: f.Known}
 	for name, field := range map[string]*string{
-		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
+		"PROXY_MGMT": &c.Mgmt} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -98,6 +102,11 @@
 	if err := checkAddr("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
+	if c.Mgmt != "" {
+		if err := checkAddr("mgmt", c.Mgmt); err != nil {
+			return nil, err
+		}
+	}
 	switch {
 	case c.Cores < 0:
 		return nil, fmt.Errorf("limits.cores: %v is negative", c.Cores)
@@ -152,6 +161,15 @@
 	return nil
 }
 
+// shareable is how many descriptors are shared out once the operators' door has its own.
+func (c *Config) shareable() int {
+	limit := cmp.Or(c.Sockets, defaultSockets)
+	if c.Mgmt != "" {
+		limit -= doorSockets + 1
+	}
+	return limit
+}
+
 // longest is the longest time that any client waits.
 func (c *Config) longest() time.Duration {
 	var d time.Duration
--- a/internal/agent/framing.go
+++ b/internal/agent/framing.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 )
 
 // framedConn reads along with net/http and finds requests that give both a Content-Length and a
@@ -41,6 +43,14 @@
 	return nil
 }
 
+// SyscallConn lets the front look for unread bytes.
+func (c *framedConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // follow takes what was read: header lines, each up to its line feed, and the bodies between.
 func (c *framedConn) follow(p []byte) {
 	for len(p) > 0 && !c.blind {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,16 +29,13 @@
 	classes map[string]int
 	body    time.Duration // within which a request's body must come, after its header
 
-	mu      sync.Mutex
-	conns   int
-	silent  map[net.Conn]bool      // have not sent a byte yet
-	waiting map[net.Conn]waitingIn // have no whole request open
-}
+	taking atomic.Bool // accepts clients
+	lame   atomic.Bool // operators empty the agent
+	leaves atomic.Bool // a successor has its clients
 
-// waitingIn is a connection that waits for a request.
-type waitingIn struct {
-	since time.Time
-	first bool // none has come whole yet
+	lobby
+	conns  int
+	silent map[net.Conn]bool // have not sent a byte yet
 }
 
 // Anyone may connect, and a peer that sends no whole request is owed an error or a close within
@@ -49,15 +45,11 @@
 	quietTimeout = 2200 * time.Millisecond // for the next request's header to come whole
 	bodyTimeout  = 600 * time.Millisecond  // and then its body: proper clients send both in one go
 	maxHeader    = 32 << 10
-
-	// While more want to connect than there are slots, a connection that has waited for so long
-	// gives way: proper clients send their request at once.
-	leastWait = 150 * time.Millisecond
 )
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
-	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.Sockets), classes: map[string]int{},
-		body: bodyTimeout, silent: map[net.Conn]bool{}, waiting: map[net.Conn]waitingIn{}}
+	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.shareable()), classes: map[string]int{},
+		body: bodyTimeout, lobby: newLobby(), silent: map[net.Conn]bool{}}
 	if cfg.Site.MaxOpen > 0 {
 		f.most = min(f.most, cfg.Site.MaxOpen)
 	}
@@ -87,51 +79,52 @@
 
 // track counts connections as they come and go.
 func (f *front) track(c net.Conn, s http.ConnState) {
+	f.lobby.track(c, s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.silent, c)
 	switch s {
 	case http.StateNew:
 		f.silent[c] = true
-		f.waiting[c] = waitingIn{time.Now(), true}
 		f.conns++
-	case http.StateIdle:
-		f.waiting[c] = waitingIn{since: time.Now()}
 	case http.StateClosed:
-		delete(f.waiting, c)
 		f.conns--
 	}
 }
 
-// takes notes that a request has come whole on a connection. It reports false where the connection
-// has been closed to make room: its client is told nothing, and nothing of it may be sent on.
-func (f *front) takes(c net.Conn) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_, open := f.waiting[c]
-	delete(f.waiting, c)
-	return open
-}
+// While an agent is emptied, a connection goes once it has been idle for emptyIdle: after the time in
+// which new ones still come, and well before the clients' next requests are counted against it.
+const (
+	emptyIdle  = 600 * time.Millisecond
+	emptyEvery = 50 * time.Millisecond
+)
 
-// makeRoom closes one connection of those that have waited for a while: the one that has waited
-// longest for its first whole request, or, where all have sent one, the one idle longest. Whoever
-// connects and sends nothing must not keep out those who would.
-func (f *front) makeRoom() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var oldest net.Conn
-	for c, w := range f.waiting {
-		if time.Since(w.since) < leastWait {
-			continue
+// emptying reports whether clients are to go elsewhere: each answer ends its connection.
+func (f *front) emptying() bool { return f.lame.Load() || f.leaves.Load() }
+
+// setLame empties the agent of clients, or takes them again.
+func (f *front) setLame(on bool) { f.lame.Store(on) }
+
+// empty closes idle connections while the agent is emptied, until ctx ends.
+func (f *front) empty(ctx context.Context) {
+	tick := time.NewTicker(emptyEvery)
+	defer tick.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
 		}
-		if o := f.waiting[oldest]; oldest == nil || w.first && !o.first || w.first == o.first && w.since.Before(o.since) {
-			oldest = c
+		switch {
+		case !f.emptying():
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+		case time.Since(since) >= emptyIdle:
+			f.closeIdle(emptyIdle)
 		}
 	}
-	if oldest != nil {
-		delete(f.waiting, oldest)
-		oldest.Close()
-	}
 }
 
 // crowded reports whether more connections are open than are to be kept.
@@ -162,15 +155,13 @@
 	if hr.URL.Path == "/_health" {
 		w.Header().Set("Connection", "close") // whoever asks in numbers must not keep clients out
 		status := http.StatusOK
-		if !f.loop.ready.Load() {
+		if !f.loop.ready.Load() || f.emptying() {
 			status = http.StatusServiceUnavailable
 		}
 		w.WriteHeader(status)
 		return
 	}
-	if f.crowded() {
-		w.Header().Set("Connection", "close") // too many are kept: let this one go after its answer
-	}
+	f.letGo(w)
 	err := checkFraming(hr)
 	var r *request
 	if err == nil {
@@ -194,7 +185,16 @@
 		return
 	}
 	defer f.open.Add(-1)
-	f.answer(w, f.wait(hr, r))
+	a := f.wait(hr, r)
+	f.letGo(w)
+	f.answer(w, a)
+}
+
+// letGo has a connection end with its answer where too many are kept, or none are to be.
+func (f *front) letGo(w http.ResponseWriter) {
+	if f.crowded() || f.emptying() {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 // wait posts a request and waits for its answer.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +79,8 @@
 	watch    func() // asks discovery for a watch
 
 	events   chan any
+	calls    chan *call // of operators, ahead of the events
+	asked    map[int64]*call
 	stopped  chan struct{}
 	ready    atomic.Bool
 	margin   time.Duration
@@ -85,6 +89,7 @@
 	pending  []brookferry.Event
 	probing  map[string]bool // one probe of a backend at a time
 	counts   counts
+	callID   int64
 }
 
 // counts are what the agent did since its last line about it.
@@ -96,13 +101,73 @@
 		return nil, err
 	}
 	return &loop{cfg: cfg, log: log, clock: ck, balancer: balancer, backends: b, watch: func() {},
-		events: make(chan any, 1024), stopped: make(chan struct{}),
+		events: make(chan any, 1024), calls: make(chan *call), asked: map[int64]*call{}, stopped: make(chan struct{}),
 		// An attempt that waits for the client's deadline ends one tick before it: its time-out
 		// reaches the module in time for the client to hear the final answer.
 		margin:   cfg.Settings.Tick,
 		requests: map[string]*request{}, probing: map[string]bool{}}, nil
 }
 
+// call is an operator's word on a backend, on its way to the module.
+type call struct {
+	ctx     context.Context // the caller has had another answer once it ends
+	backend string
+	detach  bool
+	carried bool          // another process of this agent took it
+	at      time.Duration // when; 0: now
+	taken   chan bool     // of one, so that the loop never waits
+}
+
+var errNoLoop = errors.New("the loop has ended")
+
+// call puts a call to the module, and reports whether it has taken it.
+func (l *loop) call(ctx context.Context, c *call) (bool, error) {
+	c.ctx, c.taken = ctx, make(chan bool, 1)
+	select {
+	case l.calls <- c:
+	case <-l.stopped:
+		return false, errNoLoop
+	case <-ctx.Done():
+		return false, context.Cause(ctx)
+	}
+	select {
+	case taken := <-c.taken:
+		return taken, nil
+	case <-l.stopped:
+		return false, errNoLoop
+	case <-ctx.Done():
+		return false, context.Cause(ctx)
+	}
+}
+
+// takeCall keeps a call for the next step, before what else is waiting for it.
+func (l *loop) takeCall(c *call) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	l.callID++
+	l.asked[l.callID] = c
+	e := brookferry.Event(brookferry.Attach{Call: l.callID, Backend: c.backend, Carried: c.carried, At: c.at})
+	if c.detach {
+		e = brookferry.Detach{Call: l.callID, Backend: c.backend, Carried: c.carried}
+	}
+	l.pending = slices.Insert(l.pending, 0, e)
+}
+
+// answer ends a call as the module says. What the backends are told of it holds before the yes.
+func (l *loop) answer(a brookferry.Answer) {
+	c := l.asked[a.Call]
+	if c == nil {
+		l.log.Error("an answer to no call", "call", a.Call)
+		return
+	}
+	delete(l.asked, a.Call)
+	if a.Taken {
+		l.backends.withhold(c.backend, c.detach)
+	}
+	c.taken <- a.Taken
+}
+
 // post hands an event to the loop. After the loop has stopped it goes nowhere.
 func (l *loop) post(e any) {
 	select {
@@ -131,6 +196,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case c := <-l.calls:
+			l.takeCall(c)
 		case e := <-l.events:
 			l.take(e)
 			l.drain()
@@ -275,6 +342,8 @@
 		}
 	case brookferry.Subscribe:
 		l.watch()
+	case brookferry.Answer:
+		l.answer(a)
 	default:
 		l.log.Error("unknown action", "action", a)
 	}
--- a/internal/agent/sockets.go
+++ b/internal/agent/sockets.go
@@ -7,13 +7,14 @@
 )
 
 // The file descriptors of the process are shared out here: a fixed part for its own files,
-// discovery and peers, and the rest to clients and backends. Each client connection carries one
+// discovery and peers, one for the operators' calls, and the rest to clients and backends. Each client connection carries one
 // request at a time, and a request seldom has more than one attempt out, so the parts are equal.
 // A tenth is left to clients past their part, which are refused and sent away.
 const (
 	leastSockets   = 64
 	ownSockets     = 24
 	defaultSockets = 1024
+	doorSockets    = 12 // calls of operators at once, where they have a door
 )
 
 func sharedSockets(limit int) int {
