Hand an agent over to its next process without turning a request back

The listener is the platform's descriptor now, the older process lets its clients go, and a record in TMPDIR carries the operators' calls, the list and the retry bucket. Ruled out: memory and descriptors (21 of 64 MB, 211 of 384).

--- a/api.go
+++ b/api.go
@@ -162,6 +162,8 @@
 		Carried bool
 		At      time.Duration // when it was taken; 0: now
 	}
+	// Inherit comes first to a process that goes on where another of the same agent was.
+	Inherit struct{ Legacy }
 	// TimerFired says that a SetTimer has come due.
 	TimerFired struct{ Token int64 }
 	// PeerMessage carries bytes from another agent.
@@ -247,6 +249,7 @@
 func (ProbeResult) event()   {}
 func (Detach) event()        {}
 func (Attach) event()        {}
+func (Inherit) event()       {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
 
--- a/cmd/vetchhaven/main.go
+++ b/cmd/vetchhaven/main.go
@@ -39,9 +39,7 @@
 	}
 	// The heap is small: collect seldom, but well before the memory limit kills the process.
 	debug.SetGCPercent(400)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	}
+	cfg.LimitMemory()
 	a, err := agent.New(cfg, log.With("agent", cfg.Name))
 	if err != nil {
 		return err
--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -66,6 +66,19 @@
 	}
 }
 
+// A descriptor that is no listening socket ends the program with one clear line.
+func TestBadDescriptorEndsTheProgram(t *testing.T) {
+	for _, fd := range []string{"none", "2", "77"} {
+		t.Setenv("PROXY_FD", fd)
+		t.Setenv("TMPDIR", t.TempDir())
+		cmd, log := program(t, fmt.Sprintf(config, freeAddr(t), freeAddr(t), freeAddr(t)))
+		if err := cmd.Wait(); err == nil || cmd.ProcessState.ExitCode() != 1 || strings.Count(log.String(), "\n") != 1 ||
+			!strings.Contains(log.String(), "PROXY_FD") {
+			t.Errorf("PROXY_FD=%s: %v, log %q", fd, err, log)
+		}
+	}
+}
+
 // SIGHUP after the configuration was replaced: discovery is watched where it is now, though the
 // variable still names the old address. One that can't be read changes nothing and ends nothing.
 func TestSighupMovesDiscovery(t *testing.T) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,8 +26,10 @@
 	front     *front
 	backends  *backends
 	discovery *discovery
-	admin     *admin // nil: operators have no door
-	listener  net.Listener
+	admin     *admin    // nil: operators have no door
+	handover  *handover // nil: this process has no successor
+	listener  *limitListener
+	retireIn  time.Duration           // a process that has a successor ends
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
 }
 
@@ -45,7 +47,8 @@
 // New listens and sets up an agent. Clients are served once Run is called.
 func New(cfg *Config, log *slog.Logger) (*Agent, error) {
 	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log),
-		accept: func() <-chan time.Time { return time.After(acceptAfterStop) }}
+		accept:   func() <-chan time.Time { return time.After(acceptAfterStop) },
+		retireIn: min(cfg.longest(), longestKept) + drainSlack}
 	ck := newClock()
 	var err error
 	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
@@ -64,16 +67,30 @@
 			return nil, err
 		}
 	}
-	ln, err := listenTCP(cfg.Listen)
+	ln, err := a.listen()
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, err
+	}
+	a.listener = newLimitListener(ln, acceptSockets(cfg.shareable()))
+	a.listener.full = a.front.makeRoom
+	if cfg.ListenFD > 0 {
+		return a, a.prepareHandover()
 	}
-	limited := newLimitListener(ln, sharedSockets(cfg.shareable())-backendSockets(cfg.shareable()))
-	limited.full = a.front.makeRoom
-	a.listener = limited
 	return a, nil
 }
 
+// listen returns where clients connect.
+func (a *Agent) listen() (*net.TCPListener, error) {
+	if a.cfg.ListenFD > 0 {
+		return inheritedListener(a.cfg.ListenFD)
+	}
+	ln, err := listenTCP(a.cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln, nil
+}
+
 func listenTCP(text string) (*net.TCPListener, error) {
 	addr, err := net.ResolveTCPAddr("tcp", text)
 	if err != nil {
@@ -97,9 +114,12 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
+	if a.handover != nil {
+		defer a.handover.owner.Close() // a younger process is alone then
+		a.inherit()
+	}
 	if a.cfg.Known != nil && len(a.cfg.Known.Servers) > 0 {
-		a.discovery.version = a.cfg.Known.Version
-		a.loop.take(a.discovery.translate(a.cfg.Known, brookferry.ListCached))
+		a.loop.take(a.discovery.start(a.cfg.Known))
 	} else {
 		a.loop.take(listEvent{list: brookferry.List{Kind: brookferry.ListCached}}) // the module asks after it
 	}
@@ -107,13 +127,21 @@
 	running.Go(func() { a.loop.run(ctx) })
 	running.Go(func() { a.discovery.run(ctx) })
 	running.Go(func() { a.backends.reap(ctx) })
+	heard, deaf := context.WithCancel(ctx)
+	defer deaf()
 	if a.loop.peers != nil {
-		running.Go(func() { a.loop.peers.run(ctx, a.loop.post) })
+		running.Go(func() { a.loop.peers.run(heard, a.loop.post) })
 	}
 	if a.admin != nil {
 		running.Go(func() { a.admin.run(ctx) })
+	}
+	if a.admin != nil || a.handover != nil {
 		running.Go(func() { a.front.empty(ctx) })
 	}
+	if a.handover != nil {
+		running.Go(func() { a.share(ctx) })
+		a.awaitList(stop)
+	}
 	a.front.taking.Store(true)
 	served := make(chan error, 1)
 	go func() { served <- a.front.serve(a.listener) }()
@@ -123,6 +151,9 @@
 		return fmt.Errorf("listen: %w", err)
 	case <-stop.Done():
 	}
+	if a.handover != nil {
+		return a.retire(served, deaf)
+	}
 	return a.drain(served)
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -121,6 +121,7 @@
 	a.front.server.ReadHeaderTimeout, a.front.server.IdleTimeout = 2*patience, 2*patience // nor a rude client
 	a.front.body = 2 * patience
 	a.accept = func() <-chan time.Time { return accept }
+	a.retireIn = 2 * patience
 	go func() { r.done <- a.Run(ctx); close(r.done) }()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -236,6 +236,15 @@
 	b.reuse.learn(c.idle, broken)
 }
 
+// allow changes how many connections may be open at once. Idle ones past it are closed.
+func (b *backends) allow(most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	for b.open > b.most && b.evict() {
+	}
+}
+
 // evict closes the connection that has been idle longest, whosever it is.
 func (b *backends) evict() bool {
 	var oldest string
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -20,6 +21,8 @@
 	Listen     string // where clients connect
 	Discovery  string
 	Mgmt       string // where operators call; "": nowhere
+	ListenFD   int    // the listening socket that the platform holds; 0: none, listen by yourself
+	Scratch    string // where the processes of an agent find what they hand on
 	Seed       uint64
 	Cores      float64
 	MemoryMB   int
@@ -102,6 +105,12 @@
 	if err := checkAddr("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
+	if text := getenv("PROXY_FD"); text != "" {
+		if c.ListenFD, err = strconv.Atoi(text); err != nil || c.ListenFD < 3 {
+			return nil, fmt.Errorf("PROXY_FD: %q is no descriptor that a process inherits", text)
+		}
+		c.Scratch = cmp.Or(getenv("TMPDIR"), os.TempDir())
+	}
 	if c.Mgmt != "" {
 		if err := checkAddr("mgmt", c.Mgmt); err != nil {
 			return nil, err
@@ -161,6 +170,21 @@
 	return nil
 }
 
+// halved is what one of two processes of this agent may use.
+func (c *Config) halved() *Config {
+	half := *c
+	half.Sockets = cmp.Or(c.Sockets, defaultSockets) / 2
+	half.MemoryMB = c.MemoryMB / 2
+	return &half
+}
+
+// LimitMemory has the runtime collect well before the memory limit kills the process.
+func (c *Config) LimitMemory() {
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	}
+}
+
 // shareable is how many descriptors are shared out once the operators' door has its own.
 func (c *Config) shareable() int {
 	limit := cmp.Or(c.Sockets, defaultSockets)
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -66,6 +67,8 @@
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
+	record  func(from string, list *members) // where a successor finds the list; may be nil
+	whole   map[string]member                // the list as told by now, where it is recorded
 
 	mu      sync.Mutex
 	addr    string
@@ -203,6 +206,7 @@
 			return got, fmt.Errorf("list: %w", err)
 		}
 		d.version, got = m.Version, true
+		d.keep(addr, &m)
 		kind := brookferry.ListDelta
 		if m.Full {
 			kind = brookferry.ListFull
@@ -217,6 +221,41 @@
 	return got, err
 }
 
+// start goes on from a list that is known already, before run.
+func (d *discovery) start(m *members) listEvent {
+	d.version = m.Version
+	d.merge(m, true)
+	return d.translate(m, brookferry.ListCached)
+}
+
+// merge takes m into the whole list.
+func (d *discovery) merge(m *members, full bool) {
+	if full || d.whole == nil {
+		d.whole = map[string]member{}
+	}
+	for _, s := range m.Servers {
+		if s.State == "gone" {
+			delete(d.whole, s.ID)
+		} else {
+			d.whole[s.ID] = s
+		}
+	}
+}
+
+// keep records the list as it stands after m, where a successor will want it.
+func (d *discovery) keep(from string, m *members) {
+	if d.record == nil {
+		return
+	}
+	d.merge(m, m.Full)
+	ids := slices.Sorted(maps.Keys(d.whole))
+	list := &members{Version: m.Version, Full: true}
+	for _, id := range ids {
+		list.Servers = append(list.Servers, d.whole[id])
+	}
+	d.record(from, list)
+}
+
 // translate puts a list into the module's terms. An entry that makes no sense is left out and
 // logged: the others still count.
 func (d *discovery) translate(m *members, kind brookferry.ListKind) listEvent {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -24,14 +24,14 @@
 	cfg     *Config
 	loop    *loop
 	server  *http.Server
-	most    int // requests open at once, and connections past which none is kept
+	most    atomic.Int64 // requests open at once, and connections past which none is kept
 	open    atomic.Int64
 	classes map[string]int
 	body    time.Duration // within which a request's body must come, after its header
 
-	taking atomic.Bool // accepts clients
-	lame   atomic.Bool // operators empty the agent
-	leaves atomic.Bool // a successor has its clients
+	taking atomic.Bool  // accepts clients
+	lame   atomic.Bool  // operators empty the agent
+	leaves atomic.Int64 // a successor has its clients, and the platform kills then (Unix, ns); 0: not yet
 
 	lobby
 	conns  int
@@ -48,11 +48,9 @@
 )
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
-	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.shareable()), classes: map[string]int{},
+	f := &front{cfg: cfg, loop: l, classes: map[string]int{},
 		body: bodyTimeout, lobby: newLobby(), silent: map[net.Conn]bool{}}
-	if cfg.Site.MaxOpen > 0 {
-		f.most = min(f.most, cfg.Site.MaxOpen)
-	}
+	f.allow(clientSockets(cfg.shareable()))
 	for i, name := range cfg.Site.Classes {
 		f.classes[name] = i
 	}
@@ -72,6 +70,14 @@
 	return f
 }
 
+// allow changes how many requests may be open at once, and how many connections are kept.
+func (f *front) allow(most int) {
+	if f.cfg.Site.MaxOpen > 0 {
+		most = min(most, f.cfg.Site.MaxOpen)
+	}
+	f.most.Store(int64(most))
+}
+
 type framedKey struct{}
 
 // serve takes connections until the server is shut down.
@@ -100,7 +106,7 @@
 )
 
 // emptying reports whether clients are to go elsewhere: each answer ends its connection.
-func (f *front) emptying() bool { return f.lame.Load() || f.leaves.Load() }
+func (f *front) emptying() bool { return f.lame.Load() || f.leaves.Load() != 0 }
 
 // setLame empties the agent of clients, or takes them again.
 func (f *front) setLame(on bool) { f.lame.Store(on) }
@@ -131,7 +137,14 @@
 func (f *front) crowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.conns > f.most
+	return int64(f.conns) > f.most.Load()
+}
+
+// anyone reports whether a connection is open.
+func (f *front) anyone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns > 0
 }
 
 // closeSilent closes the connections on which nothing was ever sent.
@@ -179,7 +192,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
-	if f.open.Add(1) > int64(f.most) {
+	if f.open.Add(1) > f.most.Load() {
 		f.open.Add(-1)
 		f.refuse(w, 0)
 		return
@@ -291,6 +304,9 @@
 	if fail != nil {
 		return nil, fail
 	}
+	if end := f.leaves.Load(); end != 0 { // it has to be answered before the platform kills
+		wait = max(0, min(wait, time.Until(time.Unix(0, end))))
+	}
 	// A client's time runs from when its request was sent, which ends with the last byte.
 	r.deadline, r.left = time.Now().Add(wait), wait
 	u := url.URL{Path: hr.URL.Path, RawPath: hr.URL.RawPath, RawQuery: hr.URL.RawQuery, ForceQuery: hr.URL.ForceQuery}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -76,7 +76,8 @@
 	balancer *brookferry.Balancer
 	backends *backends
 	peers    *peers
-	watch    func() // asks discovery for a watch
+	watch    func()                  // asks discovery for a watch
+	handOn   func(brookferry.Legacy) // to the next process, now and then; may be nil
 
 	events   chan any
 	calls    chan *call // of operators, ahead of the events
@@ -185,6 +186,12 @@
 	wake := time.NewTimer(0)
 	summary := time.NewTicker(summaryEvery)
 	defer summary.Stop()
+	var save <-chan time.Time
+	if l.handOn != nil {
+		tick := time.NewTicker(saveEvery)
+		defer tick.Stop()
+		save = tick.C
+	}
 	for {
 		if len(l.pending) > 0 {
 			wake.Reset(last + l.cfg.Settings.Tick - l.clock.now())
@@ -204,6 +211,8 @@
 		case <-wake.C:
 		case <-summary.C:
 			l.summarize()
+		case <-save:
+			l.handOn(l.balancer.Legacy())
 		}
 		now := l.clock.now()
 		if now < last+l.cfg.Settings.Tick {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
+	"time"
 
 	"brookferry"
 )
@@ -14,7 +17,8 @@
 
 // peers exchanges datagrams with the other agents of the tier.
 type peers struct {
-	conn    *net.UDPConn
+	conn    *net.UDPConn // nil while an older process of this agent holds the address
+	local   *net.UDPAddr
 	addrs   []netip.AddrPort
 	numbers map[netip.AddrPort]int
 	out     chan datagram
@@ -26,6 +30,9 @@
 	data []byte
 }
 
+// bindEvery is how often, while an older process holds the address.
+const bindEvery = 50 * time.Millisecond
+
 func newPeers(cfg *Config, log *slog.Logger) (*peers, error) {
 	p := &peers{numbers: map[netip.AddrPort]int{}, out: make(chan datagram, 64), log: log}
 	for i, text := range cfg.Peers {
@@ -36,16 +43,34 @@
 		p.addrs = append(p.addrs, addr)
 		p.numbers[addr] = i
 	}
-	local, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
-	if err == nil {
-		p.conn, err = net.ListenUDP("udp", local)
+	var err error
+	if p.local, err = net.ResolveUDPAddr("udp", cfg.PeerListen); err == nil {
+		p.conn, err = net.ListenUDP("udp", p.local)
 	}
-	if err != nil {
+	if err != nil && !(cfg.ListenFD > 0 && errors.Is(err, syscall.EADDRINUSE)) {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return p, nil
 }
 
+// bind waits for the address. It reports false once ctx ends.
+func (p *peers) bind(ctx context.Context) bool {
+	tick := time.NewTicker(bindEvery)
+	defer tick.Stop()
+	for p.conn == nil {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+		}
+		if c, err := net.ListenUDP("udp", p.local); err == nil {
+			p.conn = c
+			p.log.Info("peers are heard")
+		}
+	}
+	return true
+}
+
 // tell queues a message. Datagrams may be lost, so one that finds the queue full is.
 func (p *peers) tell(to int, data []byte) {
 	if to < 0 || to >= len(p.addrs) || len(data) > maxDatagram {
@@ -60,6 +85,9 @@
 
 // run sends and receives until ctx ends.
 func (p *peers) run(ctx context.Context, post func(any)) {
+	if !p.bind(ctx) {
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
 	go func() {
--- a/internal/agent/sockets.go
+++ b/internal/agent/sockets.go
@@ -14,6 +14,7 @@
 	leastSockets   = 64
 	ownSockets     = 24
 	defaultSockets = 1024
+	leastShared    = 8  // even where two processes share a small limit
 	doorSockets    = 12 // calls of operators at once, where they have a door
 )
 
@@ -21,7 +22,7 @@
 	if limit == 0 {
 		limit = defaultSockets
 	}
-	return limit - ownSockets
+	return max(leastShared, limit-ownSockets)
 }
 
 // clientSockets is how many client connections are kept and requests held.
@@ -30,6 +31,9 @@
 // backendSockets is how many connections to backends are open at once.
 func backendSockets(limit int) int { return sharedSockets(limit) * 45 / 100 }
 
+// acceptSockets is how many client connections are accepted at once.
+func acceptSockets(limit int) int { return sharedSockets(limit) - backendSockets(limit) }
+
 // limitListener accepts no more than so many connections at once. Past that they wait in the
 // kernel's queue: running out of descriptors would fail attempts at healthy backends too.
 type limitListener struct {
@@ -43,6 +47,19 @@
 // askAgain is how often, while none is given back.
 const askAgain = 20 * time.Millisecond
 
+// reserve takes slots out of use, or puts them back in use where n is negative.
+func (l *limitListener) reserve(n int) {
+	for ; n > 0; n-- {
+		select {
+		case l.slots <- struct{}{}:
+		default: // all are in use
+		}
+	}
+	for ; n < 0; n++ {
+		<-l.slots
+	}
+}
+
 func newLimitListener(l *net.TCPListener, most int) *limitListener {
 	return &limitListener{TCPListener: l, slots: make(chan struct{}, most), closed: make(chan struct{})}
 }
--- a/operations.go
+++ b/operations.go
@@ -26,6 +26,8 @@
 		b.onDetach(e)
 	case Attach:
 		b.onAttach(e)
+	case Inherit:
+		b.onInherit(e)
 	case StreamStarted:
 		if r := b.requests[e.Request]; r != nil && !r.ended {
 			r.stream = true
@@ -138,3 +140,18 @@
 	share := max(b.warmth(t), b.sure(t)*math.Sqrt(max(1, b.s.FallMultiple)))
 	return share * max(b.done.sum(b.now)/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
 }
+
+// Legacy is what a process of an agent hands on to the next: the two are one agent to the rules.
+type Legacy struct {
+	Tokens float64 `json:"tokens"` // in the retry bucket
+}
+
+// Legacy returns what the next process starts from.
+func (b *Balancer) Legacy() Legacy { return Legacy{Tokens: b.tokens} }
+
+// onInherit goes on from where the process before was. Its file may hold anything.
+func (b *Balancer) onInherit(e Inherit) {
+	if e.Tokens >= 0 {
+		b.tokens = min(b.tokens, e.Tokens)
+	}
+}
--- a/operations_test.go
+++ b/operations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -194,3 +195,25 @@
 		}
 	}
 }
+
+// The retry bucket goes on over an upgrade: two processes are one agent. What the file holds may make
+// no sense, and is no more than a full bucket.
+func TestBucketIsHandedOn(t *testing.T) {
+	older := newRig(t, settings(), 1, backends(2))
+	for i := range 10 {
+		id := fmt.Sprint("q", i)
+		older.request(id, safe)
+		older.outcome(id, brookferry.Errored, 10*ms)
+	}
+	left := older.b.Legacy().Tokens
+	for told, want := range map[float64]float64{left: left, -1: 100, 1e9: 100, math.NaN(): 100} {
+		r := newRig(t, settings(), 1, backends(2))
+		r.step(brookferry.Inherit{Legacy: brookferry.Legacy{Tokens: told}})
+		if got := r.b.Legacy().Tokens; got != want {
+			t.Errorf("told %v: %v tokens, want %v", told, got, want)
+		}
+	}
+	if left > 60 {
+		t.Errorf("%v tokens left after ten retries", left)
+	}
+}
