Pass bodies and answers over 64 KiB through in small buffers

The module is told of a body on its way, of one that is spent and of an answer that has begun, so that neither takes room nor passes for slowness (tests fail without enter and leave). Also: a proper client's small body in pieces was cut off 0.6 s after its head (72 slow requests cut off; a line for each showed 200 to 900 bytes, some just after 100-continue). A header in part is no longer taken for idle.

--- a/api.go
+++ b/api.go
@@ -123,7 +123,12 @@
 		Work   time.Duration // expected work; 0: unknown
 		Repeat bool          // the client says that it tries again
 		Key    uint64        // a hash of what it concerns; 0: unknown
+		Coming bool          // its body is large and still coming: BodyWhole follows, and Left runs from then
 	}
+	// BodyWhole says that the last byte of a large body has come.
+	BodyWhole struct{ Request string }
+	// BodySpent says that part of a large body is gone: no further attempt can be made.
+	BodySpent struct{ Request string }
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
 		Request string
@@ -134,7 +139,8 @@
 		Done    bool          // the request has its final answer, by this outcome or before
 		Load    Load
 	}
-	// StreamStarted says that the answer of an attempt has begun to reach the client.
+	// StreamStarted says that the answer of an attempt has begun to reach the client. Its Outcome comes
+	// once the answer has ended, with the latency of the first bytes.
 	StreamStarted struct {
 		Request string
 		Attempt int
@@ -243,6 +249,8 @@
 
 func (List) event()          {}
 func (Request) event()       {}
+func (BodyWhole) event()     {}
+func (BodySpent) event()     {}
 func (Outcome) event()       {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
--- a/brookferry.go
+++ b/brookferry.go
@@ -172,7 +172,7 @@
 	}
 	c := &b.classes[e.Class]
 	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
-		deadline: b.now + e.Left, repeat: e.Repeat, key: e.Key}
+		deadline: b.now + e.Left, repeat: e.Repeat, key: e.Key, came: b.now, coming: e.Coming}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	if c.patience == 0 {
@@ -214,8 +214,7 @@
 	a := r.attempts[e.Attempt]
 	a.open = false
 	r.open--
-	b.inFlight--
-	a.b.out = without(a.b.out, a)
+	b.leave(a)
 	if e.Result.NeverRan() {
 		if r.risky--; r.risky == 0 {
 			r.anchor = nil
@@ -624,7 +623,7 @@
 // overdue counts an attempt that is out for most of its aim as late now. Departure: a thin agent
 // has few answers, and those of a crowded fleet come after its clients' patience: too late to act.
 func (b *Balancer) overdue(a *attempt) {
-	if a.open {
+	if a.open && !a.large {
 		a.late = true
 		a.b.silent++
 		b.learnSpeed(a.b, lateSlow)
@@ -875,8 +874,7 @@
 	if r.risky++; r.anchor == nil {
 		r.anchor = a
 	}
-	t.out = append(t.out, a)
-	b.inFlight++
+	b.enter(r, a)
 	b.credit -= a.cost
 	if b.thin() {
 		aim := float64(b.classes[r.class].Aim)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,8 +3,9 @@
 // requests: it neither picks backends nor retries, holds or refuses.
 //
 // The loop (loop.go) owns the module; the front (front.go) serves clients, backends.go makes
-// attempts, discovery.go follows the list, peers.go exchanges datagrams with other agents, and
-// admin.go takes operators' calls.
+// attempts, stream.go passes large bodies and answers through, discovery.go follows the list, peers.go
+// exchanges datagrams with other agents, admin.go takes operators' calls, and handover.go tells the
+// next process what it must know.
 package agent
 
 import (
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -19,13 +19,14 @@
 	"brookferry/internal/wire"
 )
 
-const maxBody = 64 << 10 // the protocol's limit on bodies, both ways
+const maxBody = 64 << 10 // bodies and answers up to this are held whole, and can be sent again
 
 var (
 	errTimedOut  = errors.New("timed out")
 	errCancelled = errors.New("cancelled")
 	errNoSocket  = errors.New("no file descriptor left for another connection")
 	errMoved     = errors.New("the backend has no address")
+	errTooLarge  = errors.New("the answer is too large")
 	errDetached  = errors.New("operators have detached the backend")
 )
 
@@ -36,12 +37,14 @@
 	url    *url.URL // path and query only
 	header http.Header
 	body   []byte
+	upload *upload // what comes after body; nil: nothing
 }
 
-// answer is a backend's whole 200 answer.
+// answer is a backend's 200 answer.
 type answer struct {
 	header http.Header
 	body   []byte
+	rest   *stream // what comes after body; nil: nothing
 }
 
 // backends holds the connections to all backends. It makes exactly the attempts it is told to:
@@ -50,6 +53,7 @@
 	cfg       *Config
 	log       *slog.Logger
 	transport *http.Transport
+	buffers   *buffers
 	keepIdle  time.Duration
 	most      int // connections at once
 
@@ -71,7 +75,7 @@
 }
 
 func newBackends(cfg *Config, log *slog.Logger) *backends {
-	b := &backends{cfg: cfg, log: log, most: backendSockets(cfg.shareable()),
+	b := &backends{cfg: cfg, log: log, buffers: newBuffers(cfg.MemoryMB), most: backendSockets(cfg.shareable()),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		keepIdle: cfg.Site.IdleClose * 3 / 4,
@@ -316,85 +320,135 @@
 	return &conn{ClientConn: cc, net: slot.conn, addr: addr, since: time.Now()}, nil
 }
 
-// attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
-// the protocol's table of outcomes; where it is not certain that nothing ran, it says so. Once
-// over is closed the request has ended, and nothing more is sent for it.
+// try is one attempt.
+type try struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc // of ctx
+	over   <-chan struct{}         // the request has ended: nothing more is sent for it
+	quit   <-chan struct{}         // nobody takes a large answer any more
+	id     string                  // of the backend
+	m      *message
+	start  time.Time
+	until  time.Time // as the backend is told; zero: as ctx says
+	took   time.Duration
+	// began hands on a large answer, of which the first bytes are there, and reports false where its
+	// time is over. nil: there are no large answers.
+	began func(*answer, time.Duration) bool
+}
+
+// latency is how long the backend has had all of the request.
+func (t *try) latency() time.Duration {
+	if u := t.m.upload; u != nil && u.complete() && u.at.After(t.start) {
+		return time.Since(u.at)
+	}
+	return time.Since(t.start)
+}
+
+// attempt sends m to a backend once and waits until ctx ends at the latest, for an answer that is
+// not large.
 func (b *backends) attempt(ctx context.Context, over <-chan struct{}, id string, m *message) (brookferry.Result, *answer, brookferry.Load) {
+	return b.try(&try{ctx: ctx, over: over, id: id, m: m, start: time.Now()})
+}
+
+// try makes an attempt. The result follows the protocol's table of outcomes; where it is not certain
+// that nothing ran, it says so. One with a large answer ends once that has gone on.
+func (b *backends) try(t *try) (brookferry.Result, *answer, brookferry.Load) {
 	for {
-		c, addr, err := b.take(id)
+		c, addr, err := b.take(t.id)
 		if err == nil && c == nil {
-			c, err = b.dial(ctx, addr)
+			c, err = b.dial(t.ctx, addr)
 		}
 		if err != nil {
 			if errors.Is(err, errNoSocket) {
-				b.log.Warn("attempt not sent", "error", err, "backend", id)
+				b.log.Warn("attempt not sent", "error", err, "backend", t.id)
 			}
-			if errors.Is(context.Cause(ctx), errCancelled) {
+			if errors.Is(context.Cause(t.ctx), errCancelled) {
 				return brookferry.Cancelled, nil, wire.Load(nil)
 			}
 			return brookferry.ConnectFailed, nil, wire.Load(nil)
 		}
 		select {
-		case <-over: // while the connection was being opened
-			b.give(id, c, true)
+		case <-t.over: // while the connection was being opened
+			b.give(t.id, c, true)
 			return brookferry.NotSent, nil, wire.Load(nil)
 		default:
 		}
-		if b.withheld(id) { // while the connection was being opened: it is not used, and nothing has run
-			b.give(id, c, false)
+		if b.withheld(t.id) { // while the connection was being opened: it is not used, and nothing has run
+			b.give(t.id, c, false)
 			return brookferry.ConnectFailed, nil, wire.Load(nil)
 		}
 		reused := c.idle > 0
-		result, answer, load := b.send(ctx, id, c, m)
+		result, answer, load := b.send(t, c)
 		// A kept connection that had died before the request was written whole tells nothing of
 		// whether the backend can be reached, and nothing has run: the attempt is still to be made.
-		if result != brookferry.ConnectFailed || !reused {
+		if result != brookferry.ConnectFailed || !reused || t.m.spent() {
 			return result, answer, load
 		}
 	}
 }
 
-// send writes m on a connection, once, and waits for the answer.
-func (b *backends) send(ctx context.Context, id string, c *conn, m *message) (brookferry.Result, *answer, brookferry.Load) {
-	none := wire.Load(nil)
+// large reports whether a body is too large to be held whole.
+func (m *message) large() bool { return m != nil && m.upload != nil }
+
+// spent reports whether part of a body is gone, so that no other attempt can be made.
+func (m *message) spent() bool { return m.large() && m.upload.begun.Load() }
+
+// send writes the request on a connection, once, and waits for the answer.
+func (b *backends) send(t *try, c *conn) (brookferry.Result, *answer, brookferry.Load) {
+	none, m := wire.Load(nil), t.m
 	c.net.begin()
 	u := *m.url
 	u.Scheme, u.Host = "http", c.addr
 	req := (&http.Request{Method: m.method, URL: &u, Header: m.header.Clone(), Host: m.host,
-		ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}).WithContext(ctx)
-	if len(m.body) > 0 {
+		ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}).WithContext(t.ctx)
+	var large *body
+	switch {
+	case m.upload != nil:
+		large = m.upload.body(m.body)
+		req.Body, req.ContentLength = large, m.upload.length
+		boundKernel(c.net.Conn)
+	case len(m.body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
 	}
-	if until, ok := ctx.Deadline(); ok {
+	until, ok := t.until, !t.until.IsZero()
+	if !ok {
+		until, ok = t.ctx.Deadline()
+	}
+	if ok {
 		req.Header.Set("X-Expires-In", strconv.FormatFloat(max(0, time.Until(until).Seconds()), 'f', 3, 64))
 	}
 	// ClientConn has no pool behind it and sends a request only once; Transport.RoundTrip would
 	// send it again by itself on a stale connection, unasked and uncounted.
 	resp, err := c.RoundTrip(req)
 	if err != nil {
-		result := b.broken(ctx, id, c)
+		result := b.broken(t, c, large)
 		b.learn(c, result == brookferry.Reset || result == brookferry.ConnectFailed)
 		return result, nil, none
 	}
 	b.learn(c, false)
+	defer resp.Body.Close()
 	if endless(resp) {
-		resp.Body.Close()
-		return b.broken(ctx, id, c), nil, none
+		return b.broken(t, c, large), nil, none
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	resp.Body.Close()
+	over := make(chan struct{})
+	defer close(over)
+	answer, err := b.read(t, resp, over)
 	if err != nil {
-		return b.broken(ctx, id, c), nil, none
+		return b.broken(t, c, large), nil, none
 	}
+	if answer.rest != nil {
+		return b.pass(t, c, resp, answer), answer, none
+	}
+	resp.Body.Close()
 	c.since = time.Now()
-	b.give(id, c, !resp.Close && len(body) <= maxBody)
+	b.give(t.id, c, !resp.Close && len(answer.body) <= maxBody)
 	load := none
 	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" && b.cfg.Site.LoadInline {
 		load = parseLoad(text)
 	}
 	switch {
-	case resp.StatusCode == http.StatusOK && len(body) <= maxBody:
-		return brookferry.OK, &answer{header: resp.Header, body: body}, load
+	case resp.StatusCode == http.StatusOK && len(answer.body) <= maxBody:
+		return brookferry.OK, answer, load
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Never-Ran") == "1":
 		return brookferry.Full, nil, load
@@ -402,6 +456,68 @@
 	return brookferry.Errored, nil, load
 }
 
+// read takes an answer whole, or the first bytes of one that is large.
+func (b *backends) read(t *try, resp *http.Response, over <-chan struct{}) (*answer, error) {
+	a := &answer{header: resp.Header}
+	small := resp.ContentLength >= 0 && resp.ContentLength <= maxBody
+	if small || resp.StatusCode != http.StatusOK || t.began == nil {
+		var err error
+		a.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		return a, err
+	}
+	if resp.ContentLength > largest {
+		return nil, errTooLarge
+	}
+	buf, free := b.buffers.get()
+	s := &stream{length: resp.ContentLength, in: resp.Body, cancel: t.cancel, ended: make(chan struct{}), free: free}
+	if resp.ContentLength < 0 {
+		g := gather(resp.Body, buf, over)
+		held, more, err := g.upTo(maxBody, gatherFor)
+		if a.body = held; err == nil && more {
+			s.in, a.rest = g, s
+		} else {
+			free()
+		}
+		return a, err
+	}
+	n, err := 0, error(nil)
+	for n == 0 && err == nil {
+		n, err = resp.Body.Read(buf)
+	}
+	if n == 0 {
+		free()
+		return nil, err
+	}
+	a.body, a.rest = buf[:n], s // an error comes again with the next read
+	return a, nil
+}
+
+// pass hands on a large answer and waits until it has gone on or can't.
+func (b *backends) pass(t *try, c *conn, resp *http.Response, a *answer) brookferry.Result {
+	defer a.rest.free()
+	t.took = t.latency()
+	boundKernel(c.net.Conn)
+	if !t.began(a, t.took) {
+		return b.broken(t, c, nil)
+	}
+	select {
+	case <-a.rest.ended:
+	case <-t.quit:
+		a.rest.end(errEnded)
+	}
+	if a.rest.err == nil {
+		c.since = time.Now()
+		b.give(t.id, c, !resp.Close)
+		return brookferry.OK
+	}
+	c.net.Close()
+	b.give(t.id, c, false)
+	if errors.Is(a.rest.err, errEnded) {
+		return brookferry.Cancelled
+	}
+	return brookferry.Reset
+}
+
 // endless reports whether an answer says neither how long it is nor that its connection ends with
 // it. It can't be told from one that was cut off.
 func endless(resp *http.Response) bool {
@@ -412,10 +528,10 @@
 }
 
 // broken tells how an attempt ended that brought no whole answer, and closes its connection.
-func (b *backends) broken(ctx context.Context, id string, c *conn) brookferry.Result {
-	cause := context.Cause(ctx)
-	neverRan := c.net.neverWhole()
-	b.give(id, c, false)
+func (b *backends) broken(t *try, c *conn, large *body) brookferry.Result {
+	cause := context.Cause(t.ctx)
+	neverRan := c.net.neverWhole() || large != nil && !large.done.Load()
+	b.give(t.id, c, false)
 	switch {
 	case errors.Is(cause, errCancelled):
 		return brookferry.Cancelled
--- a/internal/agent/framing.go
+++ b/internal/agent/framing.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // framedConn reads along with net/http and finds requests that give both a Content-Length and a
@@ -16,6 +17,9 @@
 type framedConn struct {
 	net.Conn
 	ambiguous atomic.Bool
+	since     time.Time    // it was accepted
+	first     atomic.Int64 // when the first byte of the present request came (Unix, ns); 0: none has
+	later     atomic.Bool  // a request has come whole before
 
 	// Only reads touch these, and net/http makes one at a time.
 	line            []byte // the present header line, as far as names and lengths go
@@ -30,10 +34,26 @@
 
 func (c *framedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.first.CompareAndSwap(0, time.Now().UnixNano())
+	}
 	c.follow(p[:n])
 	return n, err
 }
 
+// reading reports whether part of a request has come.
+func (c *framedConn) reading() bool { return c.first.Load() != 0 }
+
+// requestSince is when the present request began to come: the first one with its connection.
+func (c *framedConn) requestSince() time.Time {
+	if first := c.first.Load(); c.later.Load() && first != 0 {
+		return time.Unix(0, first)
+	} else if c.later.Load() {
+		return time.Now() // it came with the one before
+	}
+	return c.since
+}
+
 // CloseWrite lets net/http end its sending before it closes, so that a reset does not overtake a
 // last answer.
 func (c *framedConn) CloseWrite() error {
@@ -98,5 +118,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: c}, nil
+	return &framedConn{Conn: c, since: time.Now()}, nil
 }
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,7 +28,8 @@
 	most    atomic.Int64 // requests open at once, and connections past which none is kept
 	open    atomic.Int64
 	classes map[string]int
-	body    time.Duration // within which a request's body must come, after its header
+	body    time.Duration // within which a small body must come, from the request's first byte on
+	gap     time.Duration // within which its next byte must
 
 	taking atomic.Bool  // accepts clients
 	lame   atomic.Bool  // operators empty the agent
@@ -43,13 +45,14 @@
 // holds one of the few descriptors, so it is closed soon after.
 const (
 	quietTimeout = 2200 * time.Millisecond // for the next request's header to come whole
-	bodyTimeout  = 600 * time.Millisecond  // and then its body: proper clients send both in one go
+	bodyTimeout  = 2700 * time.Millisecond // and for its body, from its first byte on, besides what a slow client needs
+	bodyGap      = 1200 * time.Millisecond // without a byte of it
 	maxHeader    = 32 << 10
 )
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
 	f := &front{cfg: cfg, loop: l, classes: map[string]int{},
-		body: bodyTimeout, lobby: newLobby(), silent: map[net.Conn]bool{}}
+		body: bodyTimeout, gap: bodyGap, lobby: newLobby(), silent: map[net.Conn]bool{}}
 	f.allow(clientSockets(cfg.shareable()))
 	for i, name := range cfg.Site.Classes {
 		f.classes[name] = i
@@ -93,6 +96,11 @@
 	case http.StateNew:
 		f.silent[c] = true
 		f.conns++
+	case http.StateIdle:
+		if c, ok := c.(*framedConn); ok {
+			c.first.Store(0)
+			c.later.Store(true)
+		}
 	case http.StateClosed:
 		f.conns--
 	}
@@ -160,7 +168,7 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if hr.ContentLength != 0 {
 		// Also for a body that nobody reads: net/http waits for it before it writes the answer.
-		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.body)); err != nil {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.bodyTime(hr))); err != nil {
 			http.Error(w, "can't read the body", http.StatusInternalServerError)
 			return
 		}
@@ -198,9 +206,51 @@
 		return
 	}
 	defer f.open.Add(-1)
+	u := r.message.upload
+	if u == nil {
+		a := f.wait(hr, r)
+		f.letGo(w)
+		f.answer(w, hr, a)
+		return
+	}
+	pumped := make(chan struct{})
+	go func() {
+		defer close(pumped)
+		u.pump(&paced{r: hr.Body, rc: http.NewResponseController(w), slack: max(f.gap, clientStall),
+			most: max(f.gap, clientStall), got: int64(len(r.message.body))}, f.loop.backends.buffers)
+	}()
 	a := f.wait(hr, r)
 	f.letGo(w)
-	f.answer(w, a)
+	f.endUpload(w, u)
+	<-pumped
+	select {
+	case <-u.failed:
+		fail := badBody(u.err)
+		http.Error(w, fail.text, fail.status)
+	default:
+		f.answer(w, hr, a)
+	}
+}
+
+// endUpload ends what still comes of a large body, and gives its answer time: most of the server's may
+// have gone.
+func (f *front) endUpload(w http.ResponseWriter, u *upload) {
+	rc := http.NewResponseController(w)
+	if !u.complete() {
+		w.Header().Set("Connection", "close") // its end is not read
+		_ = rc.SetReadDeadline(time.Now())    // fails with the connection alone
+	}
+	u.stop(errEnded)
+	_ = rc.SetWriteDeadline(time.Now().Add(f.server.WriteTimeout))
+}
+
+// bodyTime is what is left for a small body. Clients may take 2 s for a header, and cut what they send
+// anywhere; a peer that never sends a whole request is sent away 3 s after it has connected.
+func (f *front) bodyTime(hr *http.Request) time.Duration {
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+		return f.body - time.Since(c.requestSince())
+	}
+	return f.body
 }
 
 // letGo has a connection end with its answer where too many are kept, or none are to be.
@@ -218,10 +268,23 @@
 	late := time.NewTimer(time.Until(r.deadline) + f.cfg.Settings.AnswerGrace/2)
 	defer late.Stop()
 	hungUp := hr.Context().Done()
+	var come, failed <-chan struct{}
+	u := r.message.upload
+	if u != nil { // its time runs from its last byte
+		come, failed = u.whole, u.failed
+		late.Stop()
+	}
 	for {
 		select {
 		case a := <-r.reply:
 			return a
+		case <-come:
+			f.loop.post(whole{r})
+			late.Reset(time.Until(u.at.Add(r.left)) + f.cfg.Settings.AnswerGrace/2)
+			come = nil
+		case <-failed:
+			f.loop.post(left{r})
+			failed = nil
 		case <-hungUp:
 			f.loop.post(left{r})
 			hungUp = nil
@@ -300,7 +363,7 @@
 		}
 		r.work = time.Duration(us * float64(time.Microsecond))
 	}
-	body, fail := f.readBody(w, hr)
+	body, more, fail := f.readBody(w, hr)
 	if fail != nil {
 		return nil, fail
 	}
@@ -323,42 +386,56 @@
 		header["User-Agent"] = nil // keeps net/http from adding its own
 	}
 	r.message = &message{method: method, host: hr.Host, url: &u, header: header, body: body}
+	if more {
+		r.message.upload = newUpload(hr.ContentLength)
+	}
 	return r, nil
 }
 
-func (f *front) readBody(w http.ResponseWriter, hr *http.Request) ([]byte, *inputError) {
+// readBody reads a body, or the first bytes of one that is large: more tells that there are others.
+func (f *front) readBody(w http.ResponseWriter, hr *http.Request) (body []byte, more bool, fail *inputError) {
 	if hr.ContentLength == 0 {
-		return nil, nil
+		return nil, false, nil
+	}
+	if hr.ContentLength > largest {
+		return nil, false, badBody(&http.MaxBytesError{Limit: largest})
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
-	if err == nil { // a deadline that runs on would pass for a hang-up
-		err = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if hr.ContentLength > maxBody {
+		if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+			boundKernel(c.Conn)
+		}
+	}
+	p := &paced{r: hr.Body, rc: http.NewResponseController(w), slack: f.bodyTime(hr), most: f.gap}
+	body, err := io.ReadAll(io.LimitReader(p, maxBody+1))
+	if more = len(body) > maxBody; err == nil && !more { // a deadline that runs on would pass for a hang-up
+		err = p.rc.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		return nil, false, badBody(err)
 	}
+	return body, more, nil
+}
+
+func badBody(err error) *inputError {
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return nil, &inputError{http.StatusRequestEntityTooLarge, "the body is larger than 64 KiB"}
-	case err != nil:
-		return nil, bad("the body can't be read")
+		return &inputError{http.StatusRequestEntityTooLarge, "the body is larger than 32 MiB"}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &inputError{http.StatusRequestTimeout, "the body comes too slowly"}
 	}
-	return body, nil
+	return bad("the body can't be read")
 }
 
 // answer writes a final answer. If it can't be written whole, net/http closes the connection
 // short of its Content-Length, so that the client can tell.
-func (f *front) answer(w http.ResponseWriter, a reply) {
+func (f *front) answer(w http.ResponseWriter, hr *http.Request, a reply) {
 	switch {
+	case a.served != nil && a.served.rest != nil:
+		f.relay(w, hr, a.served)
 	case a.served != nil:
-		h := w.Header()
-		for name, values := range a.served.header {
-			if !slices.Contains(hopHeaders, name) {
-				h[name] = values
-			}
-		}
-		if _, set := h["Content-Type"]; !set {
-			h["Content-Type"] = nil // keeps net/http from guessing one
-		}
-		h.Set("Content-Length", strconv.Itoa(len(a.served.body)))
+		copyHeader(w, a.served)
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.served.body)))
 		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write(a.served.body) // a client that is gone needs no answer
 	case a.refused:
@@ -372,6 +449,61 @@
 	}
 }
 
+func copyHeader(w http.ResponseWriter, a *answer) {
+	h := w.Header()
+	for name, values := range a.header {
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = values
+		}
+	}
+	if _, set := h["Content-Type"]; !set {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+}
+
+// relay passes a large answer on as it comes. Where it can't be finished the connection ends short of
+// it, so that the client can tell.
+func (f *front) relay(w http.ResponseWriter, hr *http.Request, a *answer) {
+	s, rc := a.rest, http.NewResponseController(w)
+	defer s.end(errEnded)
+	gone := context.AfterFunc(hr.Context(), func() { s.cancel(errCancelled) })
+	defer gone()
+	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+		boundKernel(c.Conn)
+	}
+	copyHeader(w, a)
+	if s.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(s.length, 10))
+	}
+	w.WriteHeader(http.StatusOK)
+	buf, free := f.loop.backends.buffers.get()
+	defer free()
+	for part, last := a.body, error(nil); ; {
+		err := rc.SetWriteDeadline(time.Now().Add(streamStall))
+		if err == nil {
+			_, err = w.Write(part)
+		}
+		if err == nil {
+			err = rc.Flush()
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if last != nil {
+			s.end(nil)
+			return
+		}
+		stalled := time.AfterFunc(streamStall, func() { s.cancel(errStalled) })
+		n, err := s.in.Read(buf)
+		stalled.Stop()
+		if err != nil && !errors.Is(err, io.EOF) {
+			s.end(err)
+			panic(http.ErrAbortHandler)
+		}
+		part, last = buf[:n], err
+	}
+}
+
 // refuse says that trying again is harmless, and when to, where clients are shown that.
 func (f *front) refuse(w http.ResponseWriter, after time.Duration) {
 	if after > 0 && f.cfg.Settings.RetryAfter {
--- a/internal/agent/lobby.go
+++ b/internal/agent/lobby.go
@@ -16,9 +16,8 @@
 
 // waitingIn is a connection that waits for a request.
 type waitingIn struct {
-	since   time.Time
-	first   bool // none has come whole yet
-	reading bool // the next has begun to come
+	since time.Time
+	first bool // none has come whole yet
 }
 
 // While more want to connect than there are slots, a connection that has waited for so long
@@ -34,11 +33,6 @@
 	switch s {
 	case http.StateNew:
 		l.waiting[c] = waitingIn{since: time.Now(), first: true}
-	case http.StateActive:
-		if w, waits := l.waiting[c]; waits {
-			w.reading = true
-			l.waiting[c] = w
-		}
 	case http.StateIdle:
 		l.waiting[c] = waitingIn{since: time.Now()}
 	case http.StateClosed:
@@ -83,7 +77,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c, w := range l.waiting {
-		if !w.reading && time.Since(w.since) >= idle && !unread(c) {
+		if r, ok := c.(interface{ reading() bool }); ok && r.reading() {
+			continue // net/http tells of a request only once its header is whole
+		}
+		if time.Since(w.since) >= idle && !unread(c) {
 			delete(l.waiting, c)
 			c.Close()
 		}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -39,7 +39,8 @@
 	done     bool // has its final answer, or its client is gone
 	open     int  // attempts out
 	cancels  []context.CancelCauseFunc
-	timedOut bool // an attempt did
+	times    []*expiry // of these attempts
+	timedOut bool      // an attempt did
 }
 
 func newRequest(id string, class int) *request {
@@ -60,7 +61,13 @@
 	arrived struct{ *request }
 	left    struct{ *request } // the client hung up
 	overdue struct{ *request } // its time and half the grace are up and no answer is there
-	ended   struct {           // an attempt
+	whole   struct{ *request } // its large body has come to the last byte
+	began   struct {           // the answer of an attempt is large, and its first bytes are here
+		*request
+		attempt int
+		answer  *answer
+	}
+	ended struct { // an attempt
 		*request
 		outcome brookferry.Outcome
 		answer  *answer
@@ -94,7 +101,7 @@
 }
 
 // counts are what the agent did since its last line about it.
-type counts struct{ requests, served, refused, failed, gone, attempts, late int }
+type counts struct{ requests, served, refused, failed, gone, attempts, late, cut int }
 
 func newLoop(cfg *Config, ck clock, b *backends, log *slog.Logger) (*loop, error) {
 	balancer, err := brookferry.New(cfg.Settings, cfg.Seed)
@@ -260,7 +267,21 @@
 		l.counts.requests++
 		l.requests[e.id] = e.request
 		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class, Work: e.work,
-			Repeat: e.repeat, Key: e.key})
+			Repeat: e.repeat, Key: e.key, Coming: e.message.large()})
+	case whole:
+		e.deadline = e.message.upload.at.Add(e.left)
+		for _, x := range e.times {
+			x.arm(e.deadline.Add(-l.margin))
+		}
+		l.pending = append(l.pending, brookferry.BodyWhole{Request: e.id})
+	case began:
+		if e.done {
+			e.answer.rest.end(errEnded)
+			return
+		}
+		l.counts.served++
+		l.finish(e.request, reply{served: e.answer})
+		l.pending = append(l.pending, brookferry.StreamStarted{Request: e.id, Attempt: e.attempt})
 	case ended:
 		e.open--
 		e.timedOut = e.timedOut || e.outcome.Result == brookferry.TimedOut
@@ -269,12 +290,23 @@
 			l.counts.served++
 		}
 		e.outcome.Done = e.done
+		if e.answer != nil && e.answer.rest != nil && e.outcome.Result != brookferry.OK {
+			l.counts.cut++
+		}
+		if !e.done && e.message.spent() {
+			l.pending = append(l.pending, brookferry.BodySpent{Request: e.id})
+		}
 		l.pending = append(l.pending, e.outcome)
 		l.forget(e.request)
 	case left:
 		if !e.done {
 			l.counts.gone++
 			l.finish(e.request, reply{})
+			if e.message.large() && !e.message.upload.complete() { // it can't go on: that is no backend's fault
+				for _, cancel := range e.cancels {
+					cancel(errCancelled)
+				}
+			}
 			l.pending = append(l.pending, brookferry.Abandoned{Request: e.id})
 			l.forget(e.request)
 		}
@@ -358,8 +390,8 @@
 	}
 }
 
-// send starts an attempt. Its goroutine ends by the client's deadline; there are no more of them
-// than MaxAttempts for each request that is open.
+// send starts an attempt. Its goroutine ends by the client's deadline, or with a large body or answer
+// that comes in time; there are no more of them than MaxAttempts for each request that is open.
 func (l *loop) send(a brookferry.Send) {
 	r := l.requests[a.Request]
 	if r == nil || r.done { // after a final answer nothing more is sent
@@ -372,24 +404,37 @@
 	if a.Timeout > 0 && start.Add(a.Timeout).Before(until) {
 		until = start.Add(a.Timeout)
 	}
-	deadline, stop := context.WithDeadlineCause(context.Background(), until, errTimedOut)
-	ctx, cancel := context.WithCancelCause(deadline)
-	n := len(r.cancels)
-	r.cancels = append(r.cancels, cancel)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	n, x := len(r.cancels), &expiry{cancel: cancel}
+	r.cancels, r.times = append(r.cancels, cancel), append(r.times, x)
+	if !r.message.large() || r.message.upload.complete() {
+		x.arm(until)
+	}
 	r.open++
 	l.counts.attempts++
 	go func() {
-		defer stop()
-		result, ans, load := l.backends.attempt(ctx, r.over, a.Backend, r.message)
+		t := &try{ctx: ctx, cancel: cancel, over: r.over, quit: l.stopped, id: a.Backend, m: r.message, start: start, until: until}
+		t.began = func(ans *answer, took time.Duration) bool {
+			if !x.begin() {
+				return false
+			}
+			l.post(began{r, n, ans})
+			return true
+		}
+		result, ans, load := l.backends.try(t)
+		x.begin()
 		cancel(nil)
+		if t.took == 0 {
+			t.took = t.latency()
+		}
 		l.post(ended{r, brookferry.Outcome{Request: r.id, Attempt: n, Backend: a.Backend, Result: result,
-			Latency: time.Since(start), Load: load}, ans})
+			Latency: t.took, Load: load}, ans})
 	}()
 }
 
 func (l *loop) summarize() {
 	l.log.Info("summary", "requests", l.counts.requests, "served", l.counts.served, "refused", l.counts.refused,
-		"failed", l.counts.failed, "gone", l.counts.gone, "attempts", l.counts.attempts, "late", l.counts.late,
+		"failed", l.counts.failed, "gone", l.counts.gone, "attempts", l.counts.attempts, "late", l.counts.late, "cut", l.counts.cut,
 		"open", len(l.requests))
 	l.counts = counts{}
 }
--- a/operations.go
+++ b/operations.go
@@ -28,13 +28,74 @@
 		b.onAttach(e)
 	case Inherit:
 		b.onInherit(e)
-	case StreamStarted:
-		if r := b.requests[e.Request]; r != nil && !r.ended {
+	case BodyWhole:
+		b.onBodyWhole(e)
+	case BodySpent:
+		if r := b.requests[e.Request]; r != nil {
 			r.stream = true
 		}
+	case StreamStarted:
+		b.onStream(e)
+	}
+}
+
+// ---- Large bodies and answers ----
+
+// enter books an attempt at its backend. With a body that is still coming it holds no place: the
+// backend has nothing to do yet, and no time runs.
+func (b *Balancer) enter(r *request, a *attempt) {
+	a.large = r.coming
+	if !r.coming {
+		a.at = true
+		a.b.out = append(a.b.out, a)
+		b.inFlight++
 	}
 }
 
+// leave ends that: with the outcome, or once a large answer has begun. What is left to do then is the
+// network's.
+func (b *Balancer) leave(a *attempt) {
+	if a.at {
+		a.at = false
+		a.b.out = without(a.b.out, a)
+		b.inFlight--
+	}
+}
+
+func (b *Balancer) onBodyWhole(e BodyWhole) {
+	r := b.requests[e.Request]
+	if r == nil || !r.coming {
+		return
+	}
+	r.coming = false
+	c := &b.classes[r.class]
+	left := r.deadline - r.came
+	r.came, r.deadline, r.aim = b.now, b.now+left, b.now+min(c.Aim, left)
+	for _, a := range r.attempts {
+		if a.open && !a.at {
+			a.sent, a.at = b.now, true
+			a.b.out = append(a.b.out, a)
+			b.inFlight++
+		}
+	}
+}
+
+// onStream takes that an answer has begun: no other attempt may answer, and this one waits for nothing.
+func (b *Balancer) onStream(e StreamStarted) {
+	r := b.requests[e.Request]
+	if r == nil {
+		return
+	}
+	r.stream = true
+	if e.Attempt >= 0 && e.Attempt < len(r.attempts) && r.attempts[e.Attempt].open {
+		a := r.attempts[e.Attempt]
+		a.large = true
+		b.leave(a)
+	}
+}
+
+// ---- Backends out of use ----
+
 // has reports whether a call may name this id.
 func (b *Balancer) has(id string) bool {
 	_, out := b.calls.detached[id]
--- a/operations_test.go
+++ b/operations_test.go
@@ -217,3 +217,73 @@
 		t.Errorf("%v tokens left after ten retries", left)
 	}
 }
+
+// A request whose large body is still coming keeps no backend busy and takes no room: its backend has
+// nothing to do yet. From its last byte on it is an attempt like any other.
+func TestBodyOnItsWayTakesNoRoom(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(1))
+	r.serve(20, safe, 10*ms)
+	for i := range 40 { // far past the limit of one backend
+		id := fmt.Sprint("large", i)
+		r.step(brookferry.Request{ID: id, Class: unsafe, Left: 2000 * ms, Coming: true})
+		if len(r.sent[id]) != 1 {
+			t.Fatalf("the %dth large body was not sent", i)
+		}
+	}
+	r.advance(5 * time.Second) // longer than any aim or deadline
+	if n := r.serve(20, safe, 10*ms)["a"]; n != 20 {
+		t.Errorf("%d of 20 requests served beside bodies on their way", n)
+	}
+	for i := range 40 {
+		r.step(brookferry.BodyWhole{Request: fmt.Sprint("large", i)})
+	}
+	if r.request("late", safe); len(r.sent["late"]) > 0 {
+		t.Error("sent past the limit: bodies that are whole don't count")
+	}
+	for i := range 40 {
+		r.outcome(fmt.Sprint("large", i), brookferry.OK, 10*ms)
+	}
+	if n := r.serve(20, safe, 10*ms)["a"]; n != 20 {
+		t.Errorf("%d of 20 requests served afterwards", n)
+	}
+}
+
+// Of a body of which a part is gone nothing can be sent again; if it never ran the client may try.
+func TestSpentBodyIsNotRetried(t *testing.T) {
+	for result, want := range map[brookferry.Result]string{brookferry.ConnectFailed: "refuse", brookferry.Reset: "fail"} {
+		r := newRig(t, settings(), 1, backends(3))
+		r.step(brookferry.Request{ID: "q", Class: safe, Left: 2000 * ms, Coming: true})
+		r.step(brookferry.BodySpent{Request: "q"})
+		all := r.outcome("q", result, 10*ms)
+		all = append(all, r.advance(2000*ms)...)
+		if len(r.sent["q"]) != 1 || final("q", all) != want {
+			t.Errorf("%v: %d attempts, final answer %q, want %q", result, len(r.sent["q"]), final("q", all), want)
+		}
+	}
+}
+
+// An attempt whose answer has begun waits for nothing: while a slow client reads it the backend is idle.
+func TestAnswerOnItsWayTakesNoRoom(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(1))
+	r.serve(20, safe, 10*ms)
+	for i := range 40 {
+		id := fmt.Sprint("large", i)
+		r.request(id, unsafe)
+		if len(r.sent[id]) != 1 {
+			t.Fatalf("the %dth was not sent", i)
+		}
+		r.step(brookferry.StreamStarted{Request: id, Attempt: 0})
+	}
+	r.advance(5 * time.Second)
+	if n := r.serve(20, safe, 10*ms)["a"]; n != 20 {
+		t.Errorf("%d of 20 requests served beside answers on their way", n)
+	}
+	for i := range 40 {
+		if all := r.outcome(fmt.Sprint("large", i), brookferry.OK, 10*ms); len(all) > 0 {
+			t.Errorf("%v after an answer that has gone on", all)
+		}
+	}
+	if n := r.serve(20, safe, 10*ms)["a"]; n != 20 {
+		t.Errorf("%d of 20 requests served afterwards", n)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -103,6 +103,9 @@
 	cost float64
 	open bool
 	late bool // found overdue: its delay is already counted
+
+	at    bool // in its backend's out
+	large bool // its body came after it was sent, or its answer is large: no time tells that it is overdue
 }
 
 type request struct {
@@ -122,7 +125,11 @@
 	repeat   bool     // a later try of the client: part of its aim has passed
 	passed   bool     // found no backend in this step
 
-	waiting, holding, stream, ended bool // for its backoff; for room; being answered; done with
+	came time.Duration // its time runs from then
+
+	waiting, holding, ended bool // for its backoff; for room; done with
+	stream                  bool // bound to the attempt it has: being answered, or part of its body is gone
+	coming                  bool // its body is
 }
 
 // unit is what worth is counted by.
