--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -250,7 +250,9 @@
 	text := pattern(64 * maxBody)
 	a := start(t, testConfig(t, setup{servers: []member{{ID: "s", Addr: ln.Addr().String(), Zone: "a", Kind: "m1", State: "ready"}}}))
 	c := connect(t, a)
-	go func() { _, _ = io.WriteString(c, head("/put/x", fmt.Sprintf("Content-Length: %d\r\n", len(text)))+text) }()
+	go func() {
+		_, _ = io.WriteString(c, head("/put/x", fmt.Sprintf("Content-Length: %d\r\n", len(text)))+text)
+	}()
 	if resp := c.answer(); resp.StatusCode != 503 {
 		t.Errorf("status %d for a body that broke off on its way", resp.StatusCode)
 	}
