Count cold budgets in requests by the best rate of late, and hand that on

A print of the module's state: 37 requests a second for each backend by the old process's count, 1.7 by the new one's. Lines to blame: coldRoom and observe, which took a cold backend's part from what was served in the last two seconds, by latency.

--- a/brookferry.go
+++ b/brookferry.go
@@ -92,7 +92,7 @@
 	delay    float64 // running mean of latency over aim
 	ramp     float64 // the part of the stated time that backends seem to need to get warm
 
-	done        decaying // work served over about one fall window, that of a cold backend over its warmth
+	done, best  decaying // requests served over about one fall window, that of a cold backend over its warmth
 	cutAt, born time.Duration
 	askFails    int
 	askToken    int64
@@ -124,7 +124,7 @@
 		timers: map[int64]*request{}, watched: map[int64]*attempt{}, fits: make([][]float64, len(s.Classes))}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
-	b.done.span = float64(s.FallWindow + 1)
+	b.done.span, b.best.span = float64(s.FallWindow+1), float64(s.RampTime+1)
 	for _, c := range s.Classes {
 		b.period = max(b.period, c.Aim)
 		b.demand.span = tellMissed * float64(b.period)
@@ -537,7 +537,7 @@
 		t.fail(0)
 		w, raw := b.warmth(t), lat
 		lat = max(lat*w, min(lat, a.cost)) // a cold one is slow by that: the rest tells of its queue
-		b.done.add(b.now, a.cost/w)
+		b.done.add(b.now, b.expected(r)/c.latency/w)
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
 		b.write(note{t.key, byte(min(lat/a.cost, slowBound-0.1) * noteStep), b.now})
@@ -673,7 +673,7 @@
 // together would push it over.
 func (b *Balancer) start(t *backend, at time.Duration) {
 	t.warmFrom, t.cold, t.seen, t.slow, t.samples = at, true, false, 1, 0
-	t.budget, t.budgetAt = -b.rng.Float64()*b.classes[0].latency, b.now
+	t.budget, t.budgetAt = -b.rng.Float64(), b.now
 }
 
 // warmth is the share of its full capacity that a backend seems to have by now. Departure: how fast
@@ -707,6 +707,7 @@
 			b.stuck += len(t.out)
 		}
 	}
+	b.remember()
 }
 
 // coldRoom reports whether a cold backend may get this request: each agent sends it no more
@@ -714,14 +715,12 @@
 // far below the multiple as above the sure capacity, since most have more than that. Where none is
 // warm, what the cold ones serve tells, and one request at a time of all agents is the least.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
-	rate := b.coldRate(t)
-	if !t.cold {
+	if !t.cold { // as measure found it in this step
 		return true
 	}
-	mean := b.classes[r.class].latency
-	t.budget = min(t.budget+rate*float64(b.now-t.budgetAt), mean)
+	t.budget = min(t.budget+b.coldRate(t)*float64(b.now-t.budgetAt), 1)
 	t.budgetAt = b.now
-	return t.budget > 0 && b.expected(r) <= heavy*mean
+	return t.budget > 0 && b.expected(r) <= heavy*b.classes[r.class].latency
 }
 
 // ---- List following ----
@@ -841,11 +840,16 @@
 // all costs messages with the square of the number of agents.
 func (b *Balancer) tell() {
 	b.tellToken = b.alarm(b.period)
-	sampled := b.s.Balancers-1 > tellFan
 	from, others := b.rng.IntN(b.s.Balancers), b.s.Balancers-1
 	for i := 1; i <= min(tellFan, others) && !b.notesOn(); i++ {
 		b.message(nil, 1+(from+i)%others)
 	}
+	b.reckon()
+}
+
+// reckon reckons this agent's share of the limit.
+func (b *Balancer) reckon() {
+	sampled := b.s.Balancers-1 > tellFan
 	total, heard, n := b.asked(), 1.0, float64(b.s.Balancers)
 	for _, p := range b.peers {
 		if b.now < p.until {
@@ -880,7 +884,7 @@
 		aim := float64(b.classes[r.class].Aim)
 		b.watched[b.alarm(time.Duration(min(aim, max(overdueAt*aim, overdueCost*a.cost))))] = a
 	}
-	t.budget -= a.cost // tells while it is cold
+	t.budget -= b.expected(r) / b.classes[r.class].latency // tells while it is cold
 	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
 }
 
--- a/operations.go
+++ b/operations.go
@@ -196,23 +196,71 @@
 	return b.pick(r)
 }
 
-// coldRate is the work that a cold backend may be sent for each unit of time.
+// coldRate is how many mean requests a cold backend may be sent for each unit of time. They are counted,
+// not timed: with a queue anywhere each takes longer, which tells nothing of this backend.
 func (b *Balancer) coldRate(t *backend) float64 {
 	share := max(b.warmth(t), b.sure(t)*math.Sqrt(max(1, b.s.FallMultiple)))
-	return share * max(b.done.sum(b.now)/float64(b.s.FallWindow+1)/float64(max(b.up, 1)), 1/float64(b.s.Balancers))
+	return share * max(b.best.sum(b.now), 1/b.classes[0].latency/float64(b.s.Balancers))
 }
 
-// Legacy is what a process of an agent hands on to the next: the two are one agent to the rules.
+// remember keeps the most requests that a backend served lately, in the mean, for each unit of time.
+// While few are warm, or slow, and much is refused, what is served tells little of what one can do.
+func (b *Balancer) remember() {
+	served := b.done.sum(b.now) / float64(b.s.FallWindow+1) / float64(max(b.up, 1))
+	b.best.total = max(served, b.best.sum(b.now))
+}
+
+// Legacy is what a process of an agent hands on to the next: the two are one agent to the rules, and to
+// its peers.
 type Legacy struct {
-	Tokens float64 `json:"tokens"` // in the retry bucket
+	Tokens  float64   `json:"tokens"` // in the retry bucket
+	PerBack float64   `json:"per_back"`
+	Delay   float64   `json:"delay"`
+	Best    float64   `json:"best"`    // requests that a backend served lately, for each ns
+	Asked   float64   `json:"asked"`   // by clients here
+	Peers   []float64 `json:"peers"`   // and elsewhere, by agent number; below 0: not known
+	Latency []float64 `json:"latency"` // by class
 }
 
 // Legacy returns what the next process starts from.
-func (b *Balancer) Legacy() Legacy { return Legacy{Tokens: b.tokens} }
+func (b *Balancer) Legacy() Legacy {
+	l := Legacy{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now), Asked: b.asked()}
+	for _, p := range b.peers {
+		demand := -1.0
+		if b.now < p.until {
+			demand = p.demand
+		}
+		l.Peers = append(l.Peers, demand)
+	}
+	for _, c := range b.classes {
+		l.Latency = append(l.Latency, c.latency)
+	}
+	return l
+}
 
 // onInherit goes on from where the process before was. Its file may hold anything.
 func (b *Balancer) onInherit(e Inherit) {
-	if e.Tokens >= 0 {
-		b.tokens = min(b.tokens, e.Tokens)
+	sane := func(x, low, high float64) bool { return x >= low && x <= high }
+	if sane(e.Tokens, 0, bucketCap) {
+		b.tokens = e.Tokens
+	}
+	if len(e.Latency) != len(b.classes) || len(e.Peers) != len(b.peers) || !sane(e.PerBack, floorPerBack, math.MaxInt32) ||
+		!sane(e.Delay, 0, 2) || !sane(e.Best, 0, 1) || !sane(e.Asked, 0, math.MaxInt64) {
+		return // of another configuration, or of none
+	}
+	b.perBack, b.delay = e.PerBack, e.Delay
+	b.best.add(b.now, e.Best)
+	b.demand.add(b.now, e.Asked)
+	b.born = b.now - time.Duration(4*b.demand.span) // as one that has run for long reckons
+	for i, demand := range e.Peers {
+		if demand >= 0 && i != b.s.Self {
+			b.peers[i] = peer{demand: demand, until: b.now + time.Duration(tellMissed*float64(b.period))}
+		}
+	}
+	for i, latency := range e.Latency {
+		if aim := float64(b.classes[i].Aim); sane(latency, 1, aim) {
+			b.classes[i].latency = latency
+		}
 	}
+	b.reckon()
 }
--- a/operations_test.go
+++ b/operations_test.go
@@ -287,3 +287,90 @@
 		t.Errorf("%d of 20 requests served afterwards", n)
 	}
 }
+
+// busy is an agent that has nearly all of the traffic of twenty.
+func busy(t *testing.T, seed uint64) *rig {
+	s := settings()
+	s.Balancers, s.Peers = 20, true
+	return newRig(t, s, seed, backends(4))
+}
+
+// hear tells it of its peers that their clients ask for nothing.
+func (r *rig) hear() {
+	for i := range 19 {
+		r.step(brookferry.PeerMessage{From: i + 1, Data: make([]byte, 8)})
+	}
+}
+
+// crowd asks twenty times a second for 2 s. Every backend but the cold one, z, keeps what it gets;
+// crowd returns how many requests z got.
+func (r *rig) crowd() (n int) {
+	for i := range 40 {
+		id := fmt.Sprint("crowd", len(r.sent), "-", i)
+		r.hear()
+		r.request(id, safe)
+		r.advance(20 * ms)
+		if len(r.sent[id]) > 0 && r.sent[id][0] == "z" {
+			n++
+			r.outcome(id, brookferry.OK, 20*ms)
+		}
+		r.advance(30 * ms)
+	}
+	return n
+}
+
+func coldOne(started time.Duration) brookferry.List {
+	return brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{{ID: "z", Started: started}}}
+}
+
+// A day of operations (upgrade+hand): while most was refused, what was served told little of what a
+// backend can do, and the cold ones were left idle beside the crowded.
+func TestColdBudgetOutlastsACrowd(t *testing.T) {
+	r := busy(t, 1)
+	for range 50 {
+		r.hear()
+		r.serve(10, safe, 10*ms) // 25 a second for each
+	}
+	r.step(coldOne(r.now))
+	if n := r.crowd(); n < 12 { // a fifth of that times the root of 2.5 is 8 a second
+		t.Errorf("%d requests in 2 s to the one that is idle", n)
+	}
+}
+
+// What the process before had learned of rates, delays and peers is gone on from: the next one's cold
+// backends get their part at once, and so does it of the limit.
+func TestLegacyIsGoneOnFrom(t *testing.T) {
+	older := busy(t, 1)
+	for range 50 {
+		older.hear()
+		older.serve(10, safe, 10*ms)
+	}
+	told := older.b.Legacy()
+	got := func(l *brookferry.Legacy) int {
+		r := busy(t, 2)
+		if l != nil {
+			r.step(brookferry.Inherit{Legacy: *l})
+			if again := r.b.Legacy(); again.Delay != l.Delay || again.PerBack != l.PerBack || math.Abs(again.Asked/l.Asked-1) > 0.1 {
+				t.Errorf("handed on %+v, gone on from %+v", *l, again)
+			}
+		}
+		r.step(coldOne(r.now))
+		return r.crowd()
+	}
+	with, without := got(&told), got(nil)
+	if with < 2*without || with < 8 {
+		t.Errorf("%d requests in 2 s to an idle cold backend, %d with nothing handed on", with, without)
+	}
+	for name, l := range map[string]brookferry.Legacy{
+		"nothing":       {},
+		"other classes": {PerBack: 6, Latency: []float64{1}},
+		"no numbers":    {PerBack: math.NaN(), Delay: math.Inf(1), Best: math.NaN(), Asked: -1, Latency: told.Latency, Peers: told.Peers},
+		"huge":          {PerBack: 1e300, Best: 1e300, Asked: 1e300, Latency: told.Latency, Peers: told.Peers},
+	} {
+		r := busy(t, 2)
+		r.step(brookferry.Inherit{Legacy: l})
+		if n := r.serve(60, safe, 10*ms); len(n) != 4 {
+			t.Errorf("%s: served by %v", name, n)
+		}
+	}
+}
