Let peers take over the demand of an emptied agent at once

The state twice a second: share=0.22 at the returned agent, its limit binding, the fleet half empty. Lines to blame: tell, whose share follows running counts of demand.

--- a/api.go
+++ b/api.go
@@ -168,6 +168,8 @@
 		Carried bool
 		At      time.Duration // when it was taken; 0: now
 	}
+	// Emptying says that operators send this agent's clients elsewhere, or let them come again.
+	Emptying struct{ On bool }
 	// Inherit comes first to a process that goes on where another of the same agent was.
 	Inherit struct{ Legacy }
 	// TimerFired says that a SetTimer has come due.
@@ -257,6 +259,7 @@
 func (ProbeResult) event()   {}
 func (Detach) event()        {}
 func (Attach) event()        {}
+func (Emptying) event()      {}
 func (Inherit) event()       {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
--- a/brookferry.go
+++ b/brookferry.go
@@ -786,7 +786,7 @@
 	if !ok || e.From < 0 || e.From >= len(b.peers) || e.From == b.s.Self {
 		return
 	}
-	b.peers[e.From] = peer{demand: m.demand, until: b.now + time.Duration(tellMissed*float64(b.period))}
+	b.hear(&b.peers[e.From], m)
 	if b.notesOn() {
 		b.delay = blend(b.delay, min(m.delay, 1)) // what a quiet agent sees itself comes too late
 		for _, n := range m.notes {
@@ -831,7 +831,7 @@
 }
 
 func (b *Balancer) message(notes []note, step int) {
-	data := tidings{b.asked(), b.delay, notes}.encode(b.now, b.period)
+	data := b.told(notes).encode(b.now, b.period)
 	b.actions = append(b.actions, TellPeer{To: (b.s.Self + step) % b.s.Balancers, Data: data})
 }
 
@@ -852,11 +852,11 @@
 	sampled := b.s.Balancers-1 > tellFan
 	total, heard, n := b.asked(), 1.0, float64(b.s.Balancers)
 	for _, p := range b.peers {
-		if b.now < p.until {
+		if b.now < p.until && p.moved == 0 {
 			total += p.demand
 			heard++
 		} else if p.until > 0 && !sampled {
-			n-- // it has stopped, and its clients go elsewhere
+			n-- // it has stopped, or is emptied, and its clients go elsewhere
 		}
 	}
 	if b.share = 1 / n; total > 0 {
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -112,7 +112,7 @@
 	if resp := knock(t, a, put("/_backends/detach", `{"target":"s"}`)); resp.StatusCode != 200 {
 		t.Errorf("%+v", resp)
 	}
-	if a.front.lame.Load() {
+	if a.loop.lame.Load() {
 		t.Error("half a call was acted upon")
 	}
 }
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -32,7 +32,6 @@
 	gap     time.Duration // within which its next byte must
 
 	taking atomic.Bool  // accepts clients
-	lame   atomic.Bool  // operators empty the agent
 	leaves atomic.Int64 // a successor has its clients, and the platform kills then (Unix, ns); 0: not yet
 
 	lobby
@@ -114,10 +113,10 @@
 )
 
 // emptying reports whether clients are to go elsewhere: each answer ends its connection.
-func (f *front) emptying() bool { return f.lame.Load() || f.leaves.Load() != 0 }
+func (f *front) emptying() bool { return f.loop.lame.Load() || f.leaves.Load() != 0 }
 
 // setLame empties the agent of clients, or takes them again.
-func (f *front) setLame(on bool) { f.lame.Store(on) }
+func (f *front) setLame(on bool) { f.loop.lame.Store(on) }
 
 // empty closes idle connections while the agent is emptied, until ctx ends.
 func (f *front) empty(ctx context.Context) {
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -363,7 +363,7 @@
 				a.log.Warn("a call to another process does not hold here", "backend", c.backend, "error", err)
 			}
 		}
-		if a.front.lame.Load() != lame {
+		if a.loop.lame.Load() != lame {
 			a.front.setLame(lame)
 			a.log.Info("lame duck, by a call to another process", "on", lame)
 		}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -91,6 +91,8 @@
 	asked    map[int64]*call
 	stopped  chan struct{}
 	ready    atomic.Bool
+	lame     atomic.Bool // operators empty the agent ...
+	toldLame bool        // ... as the module has heard
 	margin   time.Duration
 	requests map[string]*request
 	timers   timerHeap
@@ -221,6 +223,10 @@
 		case <-save:
 			l.handOn(l.balancer.Legacy())
 		}
+		if on := l.lame.Load(); on != l.toldLame {
+			l.toldLame = on
+			l.pending = append(l.pending, brookferry.Emptying{On: on})
+		}
 		now := l.clock.now()
 		if now < last+l.cfg.Settings.Tick {
 			continue
--- a/message.go
+++ b/message.go
@@ -16,6 +16,7 @@
 	noteStep    = 31.0 // steps of a value: 8 times the expected latency fits below noteLate
 	noteLate    = 254  // the value of an attempt found overdue
 	noteFailed  = 255  // the value of one that failed
+	awayMark    = 1    // ends the message of an agent whose clients were sent elsewhere
 	noteAge     = 32   // steps of age in a unit; a note dies of age after eight units
 )
 
@@ -31,6 +32,7 @@
 type tidings struct {
 	demand, delay float64
 	notes         []note
+	away          bool // the demand is of clients whom operators have sent elsewhere
 }
 
 // encode writes the header and as many notes as fit, those of bad news first and the newest
@@ -39,7 +41,7 @@
 	data := binary.BigEndian.AppendUint32(make([]byte, 0, messageMost), math.Float32bits(float32(m.demand)))
 	data = binary.BigEndian.AppendUint32(data, math.Float32bits(float32(m.delay)))
 	for _, bad := range []bool{true, false} {
-		for i := len(m.notes) - 1; i >= 0 && len(data)+noteSize <= messageMost; i-- {
+		for i := len(m.notes) - 1; i >= 0 && len(data)+noteSize < messageMost; i-- {
 			n := m.notes[i]
 			age := (now-n.at)*noteAge/unit + 1
 			if age <= math.MaxUint8 && (n.value == noteFailed) == bad {
@@ -48,6 +50,9 @@
 			}
 		}
 	}
+	if m.away { // less than a note: who doesn't know it passes over it
+		data = append(data, awayMark)
+	}
 	return data
 }
 
@@ -62,6 +67,7 @@
 		m.notes = append(m.notes, note{key: binary.BigEndian.Uint32(data) >> 8, value: data[3],
 			at: now - time.Duration(data[4])*unit/noteAge})
 	}
+	m.away = len(data) == 1 && data[0] == awayMark
 	return m, m.demand >= 0 && m.demand <= math.MaxFloat32 && m.delay >= 0 && m.delay <= math.MaxFloat32
 }
 
--- a/message_test.go
+++ b/message_test.go
@@ -24,6 +24,12 @@
 	if !ok || got.demand != 12.5 || got.delay != 0.25 || len(got.notes) == 0 || got.notes[0].key != 3 {
 		t.Fatalf("got %v %+v", ok, got)
 	}
+	m.away = true
+	if more := m.encode(now, unit); len(more) != len(data)+1 || len(more) > messageMost {
+		t.Errorf("%d bytes", len(more))
+	} else if again, ok := decode(more, now, unit); !ok || !again.away || got.away || len(again.notes) != len(got.notes) {
+		t.Errorf("got %v %+v", ok, again)
+	}
 	for _, n := range got.notes {
 		was := m.notes[n.key]
 		if n.value != was.value || n.at > was.at || n.at < was.at-unit/noteAge-1 {
--- a/operations.go
+++ b/operations.go
@@ -13,8 +13,10 @@
 	backTries  = 5 * time.Second // and for so long the first request that may go there does
 )
 
-// calls is what operators said of backends, by id. The list knows nothing of it and ends none of it.
+// calls is what operators said of backends, by id, and of this agent. The list knows nothing of it and
+// ends none of it.
 type calls struct {
+	moved    float64                  // the demand of this agent's clients, who were sent elsewhere; 0: they are here
 	detached map[string]BackendState  // with the state that the list last told
 	returned map[string]time.Duration // when they were called back, while that still makes them cold
 }
@@ -26,6 +28,8 @@
 		b.onDetach(e)
 	case Attach:
 		b.onAttach(e)
+	case Emptying:
+		b.onEmptying(e)
 	case Inherit:
 		b.onInherit(e)
 	case BodyWhole:
@@ -210,6 +214,66 @@
 	b.best.total = max(served, b.best.sum(b.now))
 }
 
+// ---- Emptying an agent ----
+
+// onEmptying tells peers at once. Departure: what agents learn of each other's demand follows it by
+// seconds, in which the one that the clients go to refuses them by its old share of the limit, and the
+// one that they come back to does again.
+func (b *Balancer) onEmptying(e Emptying) {
+	switch {
+	case e.On && b.calls.moved == 0:
+		b.calls.moved = max(b.asked(), 1)
+	case !e.On && b.calls.moved > 0:
+		b.demand.total = max(b.demand.sum(b.now), b.calls.moved)
+		b.calls.moved = 0
+	default:
+		return
+	}
+	if b.s.Peers {
+		b.tell()
+	}
+}
+
+// told is what peers are told.
+func (b *Balancer) told(notes []note) tidings {
+	if b.calls.moved > 0 {
+		return tidings{demand: b.calls.moved, delay: b.delay, notes: notes, away: true}
+	}
+	return tidings{demand: b.asked(), delay: b.delay, notes: notes}
+}
+
+// hear takes a peer's demand. One whose clients are sent elsewhere hands its demand to the others, to
+// each an even part, and takes it back when they return; what really comes soon counts for more.
+func (b *Balancer) hear(p *peer, m tidings) {
+	p.until = b.now + time.Duration(tellMissed*float64(b.period))
+	moved := 0.0
+	switch {
+	case m.away && p.moved == 0:
+		moved = max(m.demand, 1)
+		p.demand, p.moved = 0, moved
+	case !m.away:
+		moved = -p.moved
+		p.demand, p.moved = m.demand, 0
+	}
+	if moved == 0 {
+		return
+	}
+	others := []*peer{}
+	for i := range b.peers {
+		if q := &b.peers[i]; q != p && i != b.s.Self && b.now < q.until && q.moved == 0 {
+			others = append(others, q)
+		}
+	}
+	part := moved / float64(len(others)+1)
+	for _, q := range others {
+		q.demand = max(0, q.demand+part)
+	}
+	b.demand.total = max(0, b.demand.sum(b.now)+part)
+	b.reckon()
+}
+
+// ---- Handing on ----
+
 // Legacy is what a process of an agent hands on to the next: the two are one agent to the rules, and to
 // its peers.
 type Legacy struct {
@@ -218,13 +282,15 @@
 	Delay   float64   `json:"delay"`
 	Best    float64   `json:"best"`    // requests that a backend served lately, for each ns
 	Asked   float64   `json:"asked"`   // by clients here
+	Moved   float64   `json:"moved"`   // by those sent elsewhere
 	Peers   []float64 `json:"peers"`   // and elsewhere, by agent number; below 0: not known
 	Latency []float64 `json:"latency"` // by class
 }
 
 // Legacy returns what the next process starts from.
 func (b *Balancer) Legacy() Legacy {
-	l := Legacy{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now), Asked: b.asked()}
+	l := Legacy{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now),
+		Asked: b.asked(), Moved: b.calls.moved}
 	for _, p := range b.peers {
 		demand := -1.0
 		if b.now < p.until {
@@ -244,13 +310,14 @@
 	if sane(e.Tokens, 0, bucketCap) {
 		b.tokens = e.Tokens
 	}
-	if len(e.Latency) != len(b.classes) || len(e.Peers) != len(b.peers) || !sane(e.PerBack, floorPerBack, math.MaxInt32) ||
-		!sane(e.Delay, 0, 2) || !sane(e.Best, 0, 1) || !sane(e.Asked, 0, math.MaxInt64) {
+	if len(e.Latency) != len(b.classes) || len(e.Peers) != len(b.peers) ||
+		!sane(e.PerBack, floorPerBack, math.MaxInt32) || !sane(e.Delay, 0, 2) || !sane(e.Best, 0, 1) ||
+		!sane(e.Moved, 0, math.MaxInt64) || !sane(e.Asked, 0, math.MaxInt64) {
 		return // of another configuration, or of none
 	}
 	b.perBack, b.delay = e.PerBack, e.Delay
 	b.best.add(b.now, e.Best)
-	b.demand.add(b.now, e.Asked)
+	b.demand.add(b.now, max(e.Asked, e.Moved))      // Emptying follows where they are still elsewhere
 	b.born = b.now - time.Duration(4*b.demand.span) // as one that has run for long reckons
 	for i, demand := range e.Peers {
 		if demand >= 0 && i != b.s.Self {
--- a/operations_test.go
+++ b/operations_test.go
@@ -374,3 +374,63 @@
 		}
 	}
 }
+
+// An agent that is emptied hands its part of the limit to those that its clients go to, at once, and gets
+// it back when they return. What agents learn of each other's demand follows it by seconds.
+func TestEmptiedAgentHandsItsPartOn(t *testing.T) {
+	s := settings()
+	s.Balancers, s.Peers = 3, true
+	quiet := newRig(t, s, 1, backends(4))
+	s.Self = 1
+	busy := newRig(t, s, 2, backends(4))
+	s.Self = 2
+	third := newRig(t, s, 3, backends(4))
+	tell := func(from int, actions []brookferry.Action) (n int) {
+		for _, a := range actions {
+			if a, ok := a.(brookferry.TellPeer); ok && a.To == 0 {
+				quiet.step(brookferry.PeerMessage{From: from, Data: a.Data})
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 200 {
+		busy.serve(1, safe, 10*ms)
+		tell(1, busy.advance(10*ms))
+		if i%4 == 0 {
+			third.serve(1, safe, 10*ms)
+			third.now -= 10 * ms
+		}
+		tell(2, third.advance(20*ms))
+		if i%20 == 0 {
+			quiet.serve(1, safe, 10*ms)
+			quiet.now -= 10 * ms
+		}
+		quiet.advance(20 * ms)
+	}
+	room := func(name string) (n int) {
+		for i := range 40 {
+			id := fmt.Sprint(name, i)
+			quiet.step(brookferry.Request{ID: id, Class: unsafe, Left: 2000 * ms, Repeat: true}) // no demand of its own
+			n += len(quiet.sent[id])
+		}
+		for i := range n {
+			quiet.outcome(fmt.Sprint(name, i), brookferry.OK, 10*ms)
+		}
+		return n
+	}
+	before := room("before")
+	if told := tell(1, busy.step(brookferry.Emptying{On: true})); told != 1 {
+		t.Fatalf("told %d times", told)
+	}
+	emptied := room("emptied")
+	if again := busy.step(brookferry.Emptying{On: true}); len(again) > 0 {
+		t.Errorf("a second call: %v", again)
+	}
+	tell(1, busy.step(brookferry.Emptying{On: false}))
+	after := room("after")
+	// All of the limit is 24 or a little more: of that, first hardly any, then nearly half.
+	if before > 5 || emptied < 10 || emptied > 14 || after > before+1 {
+		t.Errorf("room for %d before, %d while the other is emptied, %d after", before, emptied, after)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -10,6 +10,7 @@
 
 type peer struct {
 	demand float64
+	moved  float64       // what its clients asked for when operators sent them elsewhere; 0: they are there
 	until  time.Duration // what it told holds until then
 }
 
