--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -178,7 +178,13 @@
 	defer silent.Stop()
 	err := a.front.server.Shutdown(limit)
 	if open := a.front.open.Load(); err != nil && open > 0 {
-		a.log.Error("stopping with requests unanswered", "open", open, "error", err)
+		// Large bodies and answers take their time. What the platform's kill ends is excused, what the
+		// process itself ends is lost.
+		a.log.Warn("still answering", "open", open)
+		err = a.front.server.Shutdown(context.Background())
+	}
+	if err != nil {
+		a.log.Warn("stopping", "error", err)
 	}
 	if err := a.front.server.Close(); err != nil {
 		a.log.Warn("closing", "error", err)
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -134,6 +134,8 @@
 			since = time.Time{}
 		case since.IsZero():
 			since = time.Now()
+		case time.Since(since) >= emptyIdle && f.leaves.Load() != 0:
+			f.closeIdle(0) // what comes from now on must be answered before the platform kills
 		case time.Since(since) >= emptyIdle:
 			f.closeIdle(emptyIdle)
 		}
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -383,7 +383,8 @@
 }
 
 // retire leaves the clients to a successor: it takes no further connection, has each end with its
-// answer, and returns once none is left, or when the platform is about to kill.
+// answer, and returns once none is left. Whatever is still being answered when the platform kills is excused;
+// what the process itself ends is lost.
 func (a *Agent) retire(served <-chan error, deaf context.CancelFunc) error {
 	a.log.Info("stopping, a successor takes the clients")
 	end := time.Now().Add(a.retireIn)
@@ -396,11 +397,11 @@
 	<-served
 	tick := time.NewTicker(lookEvery / 10)
 	defer tick.Stop()
-	for now := time.Now(); a.front.anyone() && now.Before(end); {
-		now = <-tick.C
-	}
-	if open := a.front.open.Load(); open > 0 {
-		a.log.Error("stopping with requests unanswered", "open", open)
+	for late := false; a.front.anyone(); <-tick.C {
+		if open := a.front.open.Load(); !late && open > 0 && time.Now().After(end) {
+			late = true
+			a.log.Warn("still answering", "open", open)
+		}
 	}
 	if err := a.front.server.Close(); err != nil {
 		a.log.Warn("closing", "error", err)
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -309,3 +309,32 @@
 	}
 	return fd, err
 }
+
+// What a process that leaves cuts off itself is lost, what the platform's kill ends is excused: it goes on
+// with a large answer past the time at which it may be killed.
+func TestLeavingProcessFinishesALargeAnswer(t *testing.T) {
+	hold := make(chan struct{})
+	text := pattern(4 * maxBody)
+	s := handled(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, text[:maxBody+1])
+		_ = http.NewResponseController(w).Flush()
+		<-hold
+		_, _ = io.WriteString(w, text[maxBody+1:])
+	})
+	ln := listen(t)
+	a := start(t, upgradable(t, ln, t.TempDir(), setup{servers: []member{s}}))
+	a.retireIn = 0
+	waitFor(t, "clients to be taken", a.front.taking.Load)
+	c := connect(t, a)
+	c.send(fmt.Sprintf("GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID()))
+	resp := c.answer()
+	a.stop()
+	waitFor(t, "the process to leave", func() bool { return a.front.leaves.Load() != 0 && a.listener.TCPListener.SetDeadline(time.Time{}) != nil })
+	close(hold)
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != text {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	if err := receive(t, "end of the process", a.done); err != nil {
+		t.Error(err)
+	}
+}
