--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,7 +75,7 @@
 	a.listener = newLimitListener(ln, acceptSockets(cfg.shareable()))
 	a.listener.full = a.front.makeRoom
 	if cfg.ListenFD > 0 {
-		return a, a.prepareHandover()
+		a.prepareHandover()
 	}
 	return a, nil
 }
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -276,11 +276,14 @@
 }
 
 // prepareHandover finds out whether an older process of this agent is there. While it is, the two
-// share out what one may use.
-func (a *Agent) prepareHandover() (err error) {
-	if a.handover, err = newHandover(a.cfg.Scratch, a.log); err != nil {
-		return err
+// share out what one may use. Where nothing can be written this process serves like one that is alone.
+func (a *Agent) prepareHandover() {
+	h, err := newHandover(a.cfg.Scratch, a.log)
+	if err != nil {
+		a.log.Error("nothing can be handed on", "error", err)
+		return
 	}
+	a.handover = h
 	if a.admin != nil {
 		a.admin.record = a.handover.keep
 	}
@@ -290,7 +293,6 @@
 		a.listener.reserve(a.halfOfAccepts())
 		a.allow(a.cfg.halved())
 	}
-	return nil
 }
 
 func (a *Agent) halfOfAccepts() int {
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -329,7 +329,9 @@
 	c.send(fmt.Sprintf("GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID()))
 	resp := c.answer()
 	a.stop()
-	waitFor(t, "the process to leave", func() bool { return a.front.leaves.Load() != 0 && a.listener.TCPListener.SetDeadline(time.Time{}) != nil })
+	waitFor(t, "the process to leave", func() bool {
+		return a.front.leaves.Load() != 0 && a.listener.TCPListener.SetDeadline(time.Time{}) != nil
+	})
 	close(hold)
 	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != text {
 		t.Errorf("%d bytes, %v", len(got), err)
@@ -338,3 +340,17 @@
 		t.Error(err)
 	}
 }
+
+// An agent whose directory can't be written to serves all the same.
+func TestNowhereToHandOn(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	ln := listen(t)
+	a := start(t, upgradable(t, ln, filepath.Join(t.TempDir(), "none"), setup{servers: []member{s.member("s")}}))
+	a.admin.within = patience
+	if x := a.do("GET", "/get/x", ""); x.status != 200 {
+		t.Errorf("%+v", x)
+	}
+	if resp := knock(t, a, put("/_backends/detach", `{"target":"s"}`)); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+}
