Move the running of an agent's process beside the agent

Need: the product's command runs the same agent as the platform's program does, and nothing of it twice. Change: what cmd/vetchhaven did with signals, limits and a replaced configuration is agent.Serve.

--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,61 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+)
+
+// Serve runs the agent that getenv's PROXY_ variables describe until SIGTERM.
+func Serve(log *slog.Logger, getenv func(string) string) error {
+	// From the first moment on: unheeded it would end the program.
+	replaced := make(chan os.Signal, 1)
+	signal.Notify(replaced, syscall.SIGHUP)
+	defer signal.Stop(replaced)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	cfg, err := LoadConfig(getenv)
+	if err != nil {
+		return err
+	}
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	}
+	// The heap is small: collect seldom, but well before the memory limit kills the process.
+	debug.SetGCPercent(400)
+	cfg.LimitMemory()
+	a, err := New(cfg, log.With("agent", cfg.Name))
+	if err != nil {
+		return err
+	}
+	var reloading sync.WaitGroup
+	done := make(chan struct{})
+	reloading.Go(func() { reload(a, log, getenv, replaced, done) })
+	defer reloading.Wait()
+	defer close(done)
+	return a.Run(stop)
+}
+
+// reload takes over a replaced configuration at each SIGHUP: of what is in it, discovery's address
+// alone may change while the program runs. One that can't be read changes nothing.
+func reload(a *Agent, log *slog.Logger, getenv func(string) string, replaced <-chan os.Signal, done <-chan struct{}) {
+	for {
+		select {
+		case <-replaced:
+		case <-done:
+			return
+		}
+		discovery, err := LoadDiscovery(getenv)
+		if err != nil {
+			log.Error("the replaced configuration is not used", "error", err)
+			continue
+		}
+		a.Follow(discovery)
+	}
+}
