Add the lab's pure parts: machines, links, checkers, random streams, scenarios

Need: an emulator and checkers whose verdicts don't rest on sockets or clocks, and which a virtual run can use too.

--- /dev/null
+++ b/internal/lab/rng/rng.go
@@ -0,0 +1,76 @@
+// Package rng gives every purpose a random stream of its own, so that one more draw for one purpose
+// shifts no draw of another.
+package rng
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Source names streams below one seed.
+type Source struct{ seed uint64 }
+
+// New returns the source of a seed.
+func New(seed uint64) Source { return Source{seed} }
+
+// Stream returns the stream of a purpose, from its start.
+func (s Source) Stream(purpose string) *rand.Rand {
+	d := xxhash.NewWithSeed(s.seed)
+	_, _ = d.WriteString(purpose) // a hash takes every write
+	low := d.Sum64()
+	_, _ = d.WriteString("/")
+	return rand.New(rand.NewPCG(low, d.Sum64()))
+}
+
+// Of returns the stream of one numbered thing of a purpose.
+func (s Source) Of(purpose string, n int) *rand.Rand {
+	return s.Stream(purpose + "/" + strconv.Itoa(n))
+}
+
+// Hash is a number that belongs to a purpose, the same at every call.
+func (s Source) Hash(purpose string) uint64 {
+	d := xxhash.NewWithSeed(s.seed)
+	_, _ = d.WriteString(purpose)
+	return d.Sum64()
+}
+
+// Between draws evenly from a range.
+func Between(r *rand.Rand, low, high float64) float64 { return low + r.Float64()*(high-low) }
+
+// Lognormal draws with the given mean and coefficient of variation.
+func Lognormal(r *rand.Rand, mean, cv float64) float64 {
+	s2 := math.Log1p(cv * cv)
+	return mean * math.Exp(r.NormFloat64()*math.Sqrt(s2)-s2/2)
+}
+
+// Zipf draws ranks below n with weights that fall as rank to the power -s, for any s >= 0
+// (math/rand/v2's own wants s above 1).
+type Zipf struct{ sums []float64 }
+
+// NewZipf prepares the draw.
+func NewZipf(n int, s float64) *Zipf {
+	z := &Zipf{make([]float64, n)}
+	sum := 0.0
+	for i := range z.sums {
+		sum += math.Pow(float64(i+1), -s)
+		z.sums[i] = sum
+	}
+	return z
+}
+
+// Draw returns a rank, from 0.
+func (z *Zipf) Draw(r *rand.Rand) int {
+	x := r.Float64() * z.sums[len(z.sums)-1]
+	low, high := 0, len(z.sums)-1
+	for low < high {
+		if mid := (low + high) / 2; z.sums[mid] < x {
+			low = mid + 1
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,410 @@
+// Package scenario reads what a lab is to play: the fleet, its load, and a schedule of faults.
+package scenario
+
+import (
+	"embed"
+	"fmt"
+	"os"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"brookferry/internal/lab/link"
+	"brookferry/internal/strict"
+)
+
+// Scenario is one day in the lab.
+type Scenario struct {
+	Name   string          `toml:"name"`
+	About  string          `toml:"about"`
+	For    strict.Duration `toml:"for"`
+	Settle strict.Duration `toml:"settle"` // nothing before counts
+	Fleet  Fleet           `toml:"fleet"`
+	Load   Load            `toml:"load"`
+	World  World           `toml:"world"`
+	Lists  Lists           `toml:"lists"`
+	Limits Limits          `toml:"limits"`
+	Faults []Fault         `toml:"fault"`
+
+	Again strict.Duration `toml:"-"` // the schedule begins anew after so long; 0: never
+
+	file, text string
+}
+
+// Fleet is who is there.
+type Fleet struct {
+	Agents   int      `toml:"agents"`
+	Backends int      `toml:"backends"`
+	Zones    []string `toml:"zones"`
+	ZoneSize []int    `toml:"zone_size"` // backends of each zone; empty: evenly
+	Pod      int      `toml:"pod"`       // backends of one pod
+}
+
+// Load is what clients ask for.
+type Load struct {
+	Rate      float64 `toml:"rate"`       // requests a second, over all agents
+	Of        float64 `toml:"of"`         // of what the warm backends can do; work is scaled to it
+	Skew      float64 `toml:"skew"`       // how unevenly agents are asked: the coefficient of variation
+	Keys      int     `toml:"keys"`       // distinct keys
+	KeySkew   float64 `toml:"key_skew"`   // the exponent of their popularity
+	Retries   int     `toml:"retries"`    // a client's further tries after a refusal or an unreachable agent
+	Patience  float64 `toml:"patience"`   // share of the class's give-up time that a try waits
+	Impatient float64 `toml:"impatient"`  // share of clients that leave within the aim
+	Honour    float64 `toml:"honour"`     // share of clients that heed Retry-After
+	OverShare float64 `toml:"over_share"` // worth of what a tenant asks beyond its share
+}
+
+// Range is drawn from evenly; one number twice is fixed.
+type Range [2]float64
+
+// World is what machines are like.
+type World struct {
+	SlotsPerCore Range           `toml:"slots_per_core"`
+	RoomPerCore  Range           `toml:"room_per_core"` // requests that wait
+	Thrash       Range           `toml:"thrash"`
+	ThrashAt     Range           `toml:"thrash_at"`
+	ColdFrom     Range           `toml:"cold_from"`
+	RampS        Range           `toml:"ramp_s"`
+	FallMultiple float64         `toml:"fall_multiple"`
+	FallWindow   strict.Duration `toml:"fall_window"`
+	Choke        bool            `toml:"choke"`
+	ErrorRate    Range           `toml:"error_rate"`
+	KeyGain      Range           `toml:"key_gain"`
+	KeyForS      Range           `toml:"key_for_s"`
+	KeysPerCore  int             `toml:"keys_per_core"`
+	Conns        Range           `toml:"conns"`
+	HandshakeMs  Range           `toml:"handshake_ms"`
+	SameMs       Range           `toml:"same_ms"` // one way within a zone
+	CrossMs      Range           `toml:"cross_ms"`
+	PeerMs       Range           `toml:"peer_ms"`
+	Jitter       float64         `toml:"jitter"`
+}
+
+// Lists is how discovery tells of changes.
+type Lists struct {
+	NoticeS Range `toml:"notice_s"` // until it tells of a process that ended or drains
+	SilentS Range `toml:"silent_s"` // of a machine that fell silent
+	AddS    Range `toml:"add_s"`    // of one that came
+}
+
+// Limits are what an agent is told that it may use.
+type Limits struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+	LateMs   float64 `toml:"late_ms"` // the lab's own lateness, 99th percentile, past which a run is void
+}
+
+// Fault is one entry of the schedule.
+type Fault struct {
+	At   strict.Duration `toml:"at"`
+	For  strict.Duration `toml:"for"` // 0: to the end, or at once
+	What string          `toml:"what"`
+	Who  string          `toml:"who"` // a set of parties, see Parse
+	From string          `toml:"from"`
+	To   string          `toml:"to"`
+	Both bool            `toml:"both"` // also the other direction
+
+	Protocol  string          `toml:"protocol"` // "tcp", "udp"; "": both
+	Delay     strict.Duration `toml:"delay"`
+	Jitter    strict.Duration `toml:"jitter"`
+	Lose      float64         `toml:"lose"`
+	Duplicate float64         `toml:"duplicate"`
+	Reorder   float64         `toml:"reorder"`
+	Cut       bool            `toml:"cut"`
+	Refuse    bool            `toml:"refuse"`
+	Reset     bool            `toml:"reset"`
+
+	Size    float64         `toml:"size"`    // of a burst, of failures, of what a neighbour takes
+	On      strict.Duration `toml:"on"`      // a neighbour's time on, and off
+	After   strict.Duration `toml:"after"`   // a restart's delay
+	Restart string          `toml:"restart"` // "empty", "kept", "never"
+	Steps   int             `toml:"steps"`   // in so many equal parts over For
+}
+
+// What a schedule may hold.
+const (
+	Link        = "link"
+	Kill        = "kill"      // SIGKILL to agents, and a restart
+	Term        = "term"      // SIGTERM, and a restart once they have ended
+	Stop        = "stop"      // SIGSTOP, SIGCONT after For
+	ZoneLost    = "zone-lost" // its backends fall silent and come back cold
+	ZoneCut     = "zone-cut"  // nothing passes its border
+	ZoneDeaf    = "zone-deaf" // it is heard but hears nothing from beyond its border
+	Replace     = "replace"   // backends drain and others come in their place
+	Drain       = "drain"
+	Bad         = "bad"         // backends fail a share of requests at once
+	Neighbour   = "neighbour"   // another program takes a share of backends, on and off
+	Burst       = "burst"       // Size times the load
+	ListSilent  = "list-silent" // discovery says nothing
+	ListAway    = "list-away"   // discovery turns callers away
+	ListRewind  = "list-rewind" // discovery starts again from an old version
+	restartNone = "never"
+)
+
+var kinds = []string{Link, Kill, Term, Stop, ZoneLost, ZoneCut, ZoneDeaf, Replace, Drain, Bad, Neighbour, Burst,
+	ListSilent, ListAway, ListRewind}
+
+// Default is a calm day: what a scenario does not say.
+func Default() Scenario {
+	return Scenario{
+		For: strict.Duration(30 * time.Second), Settle: strict.Duration(3 * time.Second),
+		Fleet: Fleet{Agents: 8, Backends: 18, Zones: []string{"riga-ziepniekkalns", "riga-purvciems", "marupe"}, Pod: 6},
+		Load: Load{Rate: 400, Of: 0.7, Skew: 0.8, Keys: 1200, KeySkew: 0.8, Retries: 1, Patience: 1, Honour: 0.9,
+			OverShare: 0.2},
+		World: World{SlotsPerCore: Range{2, 6}, RoomPerCore: Range{220, 600}, Thrash: Range{0.3, 0.55},
+			ThrashAt: Range{4.1, 6.8}, ColdFrom: Range{0.12, 0.35}, RampS: Range{10, 20}, FallMultiple: 3,
+			FallWindow: strict.Duration(2 * time.Second), Choke: true, ErrorRate: Range{0, 0.002}, KeyGain: Range{0.3, 0.6},
+			KeyForS: Range{3, 8}, KeysPerCore: 15, Conns: Range{400, 520}, HandshakeMs: Range{0.2, 0.5}, SameMs: Range{0.1, 0.26},
+			CrossMs: Range{0.78, 1.4}, PeerMs: Range{1.4, 6}, Jitter: 0.25},
+		Lists:  Lists{NoticeS: Range{0.5, 2}, SilentS: Range{4.3, 6}, AddS: Range{0.44, 1.5}},
+		Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 768, LateMs: 20},
+	}
+}
+
+//go:embed builtin/*.toml
+var builtin embed.FS
+
+// Names are the built-in scenarios, in order.
+func Names() (names []string) {
+	entries, err := builtin.ReadDir("builtin")
+	if err != nil {
+		panic(err) // it is part of the program
+	}
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
+// Load reads a scenario by its built-in name or from a file. What it does not say is as on a calm day.
+func Read(name string) (*Scenario, error) {
+	file, text := name, []byte(nil)
+	var err error
+	if slices.Contains(Names(), name) {
+		file = path.Join("builtin", name+".toml")
+		text, err = builtin.ReadFile(file)
+	} else if strings.HasSuffix(name, ".toml") {
+		text, err = os.ReadFile(name)
+	} else {
+		return nil, fmt.Errorf("no scenario is called %q; there are %s, or name a .toml file", name, strings.Join(Names(), ", "))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return parse(file, string(text))
+}
+
+func parse(file, text string) (*Scenario, error) {
+	s := Default()
+	if err := strict.Decode(file, text, &s); err != nil {
+		return nil, err
+	}
+	s.file, s.text = file, text
+	if s.Name == "" {
+		s.Name = strings.TrimSuffix(path.Base(file), ".toml")
+	}
+	return &s, s.Check()
+}
+
+func (s *Scenario) wrong(key, format string, args ...any) error {
+	return strict.At(s.file, s.text, key, format, args...)
+}
+
+// Most of what one lab plays.
+const (
+	MostAgents, MostBackends = 2000, 4000
+	Longest                  = time.Hour
+)
+
+// Check says what can't be played.
+func (s *Scenario) Check() error {
+	zones := len(s.Fleet.Zones)
+	sum := 0
+	for _, n := range s.Fleet.ZoneSize {
+		sum += n
+	}
+	if len(s.Fleet.ZoneSize) > 0 {
+		s.Fleet.Backends = sum
+	}
+	switch {
+	case s.For <= 0 || s.For.D() > Longest:
+		return s.wrong("for", "%v is not between 0 and %v", s.For.D(), Longest)
+	case s.Settle < 0 || s.Settle >= s.For:
+		return s.wrong("settle", "%v is not below the run's %v", s.Settle.D(), s.For.D())
+	case s.Fleet.Agents < 1 || s.Fleet.Agents > MostAgents:
+		return s.wrong("fleet.agents", "%d is not between 1 and %d", s.Fleet.Agents, MostAgents)
+	case s.Fleet.Backends < 1 || s.Fleet.Backends > MostBackends:
+		return s.wrong("fleet.backends", "%d is not between 1 and %d", s.Fleet.Backends, MostBackends)
+	case zones < 1:
+		return s.wrong("fleet.zones", "at least one is needed")
+	case len(s.Fleet.ZoneSize) > 0 && len(s.Fleet.ZoneSize) != zones:
+		return s.wrong("fleet.zone_size", "%d sizes for %d zones", len(s.Fleet.ZoneSize), zones)
+	case s.Fleet.Pod < 1:
+		return s.wrong("fleet.pod", "%d is not a number of backends", s.Fleet.Pod)
+	case !(s.Load.Rate > 0 && s.Load.Rate <= 1e5):
+		return s.wrong("load.rate", "%v is not between 0 and 100000 a second", s.Load.Rate)
+	case !(s.Load.Of > 0 && s.Load.Of <= 10):
+		return s.wrong("load.of", "%v is not between 0 and 10", s.Load.Of)
+	case s.Load.Keys < 1:
+		return s.wrong("load.keys", "%d is not a number of keys", s.Load.Keys)
+	case s.Load.Retries < 0 || s.Load.Retries > 10:
+		return s.wrong("load.retries", "%d is not between 0 and 10", s.Load.Retries)
+	case !(s.Load.Patience > 0 && s.Load.Patience <= 1):
+		return s.wrong("load.patience", "%v is not between 0 and 1", s.Load.Patience)
+	case s.Limits.Sockets < 64:
+		return s.wrong("limits.sockets", "%d is not at least 64", s.Limits.Sockets)
+	}
+	for key, r := range map[string]Range{"world.slots_per_core": s.World.SlotsPerCore, "world.room_per_core": s.World.RoomPerCore,
+		"world.cold_from": s.World.ColdFrom, "world.ramp_s": s.World.RampS, "world.conns": s.World.Conns, "lists.notice_s": s.Lists.NoticeS,
+		"lists.silent_s": s.Lists.SilentS, "lists.add_s": s.Lists.AddS, "world.same_ms": s.World.SameMs, "world.cross_ms": s.World.CrossMs} {
+		if !(r[0] >= 0 && r[1] >= r[0]) {
+			return s.wrong(key, "%v is not a range of two numbers, the lower first", r)
+		}
+	}
+	for i := range s.Faults {
+		if err := s.checkFault(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) checkFault(i int) error {
+	f := &s.Faults[i]
+	key := func(name string) string { return fmt.Sprintf("fault[%d].%s", i, name) }
+	if !slices.Contains(kinds, f.What) {
+		return s.wrong(key("what"), "%q is none of %s", f.What, strings.Join(kinds, ", "))
+	}
+	if f.At < 0 || f.At >= s.For {
+		return s.wrong(key("at"), "%v is not within the run's %v", f.At.D(), s.For.D())
+	}
+	if f.For < 0 {
+		return s.wrong(key("for"), "%v is negative", f.For.D())
+	}
+	for name, set := range map[string]string{"who": f.Who, "from": f.From, "to": f.To} {
+		if set == "" {
+			continue
+		}
+		p, err := ParseSet(set)
+		if err != nil {
+			return s.wrong(key(name), "%v", err)
+		}
+		for _, z := range p.Zones {
+			if z >= len(s.Fleet.Zones) {
+				return s.wrong(key(name), "zone %d of %d: zones count from 0", z, len(s.Fleet.Zones))
+			}
+		}
+		size := map[string]int{"agents": s.Fleet.Agents, "backends": s.Fleet.Backends}[p.Kind]
+		for _, n := range p.Numbers {
+			if size > 0 && n >= size {
+				return s.wrong(key(name), "number %d of %d %s: they count from 0", n, size, p.Kind)
+			}
+		}
+	}
+	for name, share := range map[string]float64{"lose": f.Lose, "duplicate": f.Duplicate, "reorder": f.Reorder} {
+		if !(share >= 0 && share <= 1) {
+			return s.wrong(key(name), "%v is not a share from 0 to 1", share)
+		}
+	}
+	switch f.What {
+	case Link:
+		if f.From == "" || f.To == "" {
+			return s.wrong(key("from"), "a link has from and to")
+		}
+	case Kill, Term, Stop:
+		if f.Restart != "" && !slices.Contains([]string{"empty", "kept", restartNone}, f.Restart) {
+			return s.wrong(key("restart"), "%q is none of empty, kept, never", f.Restart)
+		}
+		if p, _ := ParseSet(f.Who); p.Kind != "agents" {
+			return s.wrong(key("who"), "%q is no set of agents", f.Who)
+		}
+	case Replace, Drain, Bad, Neighbour:
+		if p, _ := ParseSet(f.Who); p.Kind != "backends" {
+			return s.wrong(key("who"), "%q is no set of backends", f.Who)
+		}
+	case ZoneLost, ZoneCut, ZoneDeaf:
+		if p, _ := ParseSet(f.Who); p.Kind != "zone" {
+			return s.wrong(key("who"), `%q is no zone, such as "zone zone=1"`, f.Who)
+		}
+	}
+	if (f.What == Bad || f.What == Neighbour) && !(f.Size > 0 && f.Size <= 1) || f.What == Burst && !(f.Size > 0 && f.Size <= 20) {
+		return s.wrong(key("size"), "%v is out of range", f.Size)
+	}
+	return nil
+}
+
+// Set names parties: a kind, and what narrows it.
+type Set struct {
+	Kind    string // agents, backends, clients, discovery, zone
+	Zones   []int  // of these zones; empty: any
+	Numbers []int  // these; empty: any
+	Share   float64
+}
+
+// ParseSet reads a set, such as "agents", "backends zone=1,2", "agents n=0,3" or "backends share=0.125".
+func ParseSet(text string) (s Set, err error) {
+	words := strings.Fields(text)
+	if len(words) == 0 || !slices.Contains([]string{"agents", "backends", "clients", "discovery", "zone"}, words[0]) {
+		return s, fmt.Errorf("%q is none of agents, backends, clients, discovery, zone", text)
+	}
+	s.Kind, s.Share = words[0], 1
+	for _, w := range words[1:] {
+		name, value, _ := strings.Cut(w, "=")
+		switch name {
+		case "zone", "n":
+			var list []int
+			for _, v := range strings.Split(value, ",") {
+				n, err := strconv.Atoi(v)
+				if err != nil || n < 0 {
+					return s, fmt.Errorf("%q: %q is not a number from 0", text, v)
+				}
+				list = append(list, n)
+			}
+			if name == "zone" {
+				s.Zones = list
+			} else {
+				s.Numbers = list
+			}
+		case "share":
+			if s.Share, err = strconv.ParseFloat(value, 64); err != nil || !(s.Share >= 0 && s.Share <= 1) {
+				return s, fmt.Errorf("%q: %q is not a share from 0 to 1", text, value)
+			}
+		default:
+			return s, fmt.Errorf("%q: %q is none of zone=, n=, share=", text, w)
+		}
+	}
+	return s, nil
+}
+
+// Role is the party of a link that a set speaks of.
+func (s Set) Role() link.Role {
+	return map[string]link.Role{"agents": link.Agent, "backends": link.Backend, "clients": link.Client, "discovery": link.Discovery}[s.Kind]
+}
+
+// Has reports whether a party of a zone is in the set, Share aside.
+func (s Set) Has(n, zone int) bool {
+	return (len(s.Zones) == 0 || slices.Contains(s.Zones, zone)) && (len(s.Numbers) == 0 || slices.Contains(s.Numbers, n))
+}
+
+// Stretch changes a run's length; the schedule keeps its place in it.
+func (s *Scenario) Stretch(to time.Duration) {
+	by := float64(to) / float64(s.For)
+	scale := func(d *strict.Duration) { *d = strict.Duration(float64(*d) * by) }
+	for i := range s.Faults {
+		scale(&s.Faults[i].At)
+		scale(&s.Faults[i].For)
+	}
+	scale(&s.Settle)
+	s.For = strict.Duration(to)
+}
+
+// Endless lets a scenario run for a time, 0 for as long as a lab may; its schedule is played over and over.
+func (s *Scenario) Endless(length time.Duration) {
+	if length <= 0 {
+		length = 1000 * time.Hour
+	}
+	s.Again, s.For = s.For, strict.Duration(length)
+}
