--- /dev/null
+++ b/internal/lab/discovery.go
@@ -0,0 +1,291 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"brookferry/internal/lab/link"
+	"brookferry/internal/lab/scenario"
+)
+
+// members is a list of backends as discovery writes it.
+type members struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []member `json:"servers"`
+}
+
+type member struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+// change is one thing that discovery has learned.
+type change struct {
+	host    *host
+	state   string
+	started time.Duration // negative: long ago
+	learned time.Duration
+}
+
+// discovery is a stand-in for the platform's: it learns late, and each agent's copy hears a little later.
+type discovery struct {
+	lab     *Lab
+	servers []*http.Server
+	gates   []*gate
+	changes []change // version v is changes[v-base-1]
+	base    int64
+	silent  bool
+	away    bool
+	upset   time.Duration // when it was last not itself
+	epoch   int           // counts restarts
+	changed chan struct{} // closed at each change
+}
+
+const (
+	firstVersion = 41
+	emptyEvery   = 2 * time.Second
+)
+
+func newDiscovery(l *Lab) (*discovery, error) {
+	d := &discovery{lab: l, base: firstVersion, changed: make(chan struct{}), upset: -1}
+	for _, h := range l.hosts {
+		d.changes = append(d.changes, change{host: h, state: "ready", started: h.m.Started, learned: -time.Hour})
+	}
+	for n := range l.agents {
+		g, err := newGate(l.block.world(n), func(c net.Conn) net.Conn { return c })
+		if err != nil {
+			return nil, err
+		}
+		s := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			d.serve(w, r, l.agents[n])
+		})}
+		d.gates, d.servers = append(d.gates, g), append(d.servers, s)
+		l.running.Go(func() { _ = s.Serve(g) }) // ends with close
+	}
+	return d, nil
+}
+
+func (d *discovery) addr(agent int) string { return d.gates[agent].Addr().String() }
+
+func (d *discovery) close() {
+	for i := range d.servers {
+		d.gates[i].Close()
+		d.servers[i].Close()
+	}
+}
+
+func party(role link.Role, n int) link.Party { return link.Party{Role: role, N: n} }
+
+// learn has discovery learn of a change after its time. The lab's lock is held.
+func (d *discovery) learn(now time.Duration, h *host, state string, late scenario.Range) {
+	l := d.lab
+	l.seq++
+	r := l.rng.Of("notice/"+h.m.ID, int(l.seq))
+	started := h.m.Started
+	l.at(now+seconds(late[0]+(late[1]-late[0])*r.Float64()), func(t time.Duration) {
+		d.changes = append(d.changes, change{host: h, state: state, started: started, learned: t})
+		d.stir()
+		l.at(now+toldWithin, func(t time.Duration) { d.toldAnyway(now, h, state, started) })
+	})
+}
+
+// toldAnyway counts a change as told once the time is over in which it should have been, where nothing was in
+// the way.
+func (d *discovery) toldAnyway(happened time.Duration, h *host, state string, started time.Duration) {
+	if d.upset >= happened {
+		return
+	}
+	for _, a := range d.lab.agents {
+		if a.up && a.since <= happened {
+			d.lab.check.Tell(d.lab.now(), a.n, h.m.ID, state != "ready", started)
+		}
+	}
+}
+
+// stir wakes those who wait for a change. The lab's lock is held.
+func (d *discovery) stir() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// spread is how much later an agent's copy hears.
+func (d *discovery) spread(agent int) time.Duration {
+	r := d.lab.rng.Of("spread", agent)
+	return time.Duration((16 + 80*r.Float64()) * float64(time.Millisecond))
+}
+
+// visible is the version that an agent's copy has by now, and when it will have the next; negative: none is due.
+func (d *discovery) visible(a *agent, now time.Duration) (version int64, next time.Duration) {
+	spread := d.spread(a.n)
+	for i, c := range d.changes {
+		if c.learned+spread > now {
+			return d.base + int64(i), c.learned + spread
+		}
+	}
+	return d.base + int64(len(d.changes)), -1
+}
+
+// list is what holds between two versions: everything, if full.
+func (d *discovery) list(a *agent, from, to int64, full bool) members {
+	m := members{Version: to, Full: full, Servers: []member{}}
+	at := map[string]int{}
+	for _, c := range d.changes[from-d.base : to-d.base] {
+		spec := &c.host.m.Spec
+		s := member{ID: spec.ID, Addr: c.host.addr(a.n), Zone: d.lab.Scenario.Fleet.Zones[spec.Zone],
+			Kind: machineKinds[spec.Kind].name, Cell: spec.Cell, State: c.state, Weight: spec.Weight}
+		if c.started >= 0 {
+			s.Started = d.lab.start.Add(c.started).UnixMilli()
+		}
+		if i, known := at[s.ID]; known {
+			m.Servers[i] = s
+		} else {
+			at[s.ID] = len(m.Servers)
+			m.Servers = append(m.Servers, s)
+		}
+	}
+	if full {
+		m.Servers = slices.DeleteFunc(m.Servers, func(s member) bool { return s.State == "gone" })
+	}
+	return m
+}
+
+// addr is where an agent finds the backend.
+func (h *host) addr(agent int) string { return h.gates[agent].Addr().String() }
+
+// known is the whole list as an agent's copy has it, and counts it as told. The lab's lock is held.
+func (d *discovery) known(a *agent, now time.Duration) members {
+	v, _ := d.visible(a, now)
+	m := d.list(a, d.base, v, true)
+	d.tell(a, d.base, v, now)
+	return m
+}
+
+// tell tells the checker what is written to an agent.
+func (d *discovery) tell(a *agent, from, to int64, now time.Duration) {
+	for _, c := range d.changes[from-d.base : to-d.base] {
+		d.lab.check.Tell(now, a.n, c.host.m.ID, c.state != "ready", c.started)
+	}
+}
+
+// serve answers one agent's call.
+func (d *discovery) serve(w http.ResponseWriter, r *http.Request, a *agent) {
+	l := d.lab
+	if r.URL.Path != "/catalog/members" {
+		http.NotFound(w, r)
+		return
+	}
+	l.mu.Lock()
+	away := d.away
+	l.mu.Unlock()
+	if away {
+		http.Error(w, "overbooked", http.StatusServiceUnavailable)
+		return
+	}
+	follow := r.URL.Query().Get("follow") == "1"
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64) // absent or odd: the whole list
+	if !follow {
+		since = 0
+	}
+	epoch := -1
+	for {
+		l.mu.Lock()
+		now := l.now()
+		mute := d.silent || l.net.Fault(party(link.Discovery, a.n), party(link.Agent, a.n), link.TCP).Cut
+		if epoch == -1 && !mute {
+			epoch = d.epoch
+		}
+		ended := epoch != -1 && epoch != d.epoch || l.closing
+		v, next := d.visible(a, now)
+		var line []byte
+		if !mute && !ended && (v != since || since == 0) {
+			full := since < d.base || since > v
+			from := since
+			if full {
+				from = d.base
+			}
+			line, _ = json.Marshal(d.list(a, from, v, full)) // it holds nothing that can't be written
+			d.tell(a, from, v, now)
+			since = v
+		}
+		changed := d.changed
+		l.mu.Unlock()
+		switch {
+		case ended:
+			panic(http.ErrAbortHandler)
+		case line != nil:
+			if _, err := w.Write(append(line, '\n')); err != nil {
+				return
+			}
+		}
+		if !follow && !mute {
+			return
+		}
+		if !mute {
+			if line == nil {
+				if _, err := io.WriteString(w, "\n"); err != nil {
+					return
+				}
+			}
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return
+			}
+		}
+		wait := emptyEvery
+		if next >= 0 {
+			wait = min(wait, max(time.Millisecond, next-now))
+		}
+		if !pause(r.Context(), wait, changed) {
+			return
+		}
+	}
+}
+
+// pause waits for a time or a change, and reports false once ctx has ended.
+func pause(ctx context.Context, d time.Duration, changed <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-changed:
+	}
+	return true
+}
+
+// rewind starts discovery again from an old version: what came later it learns once more. The lab's lock is held.
+func (d *discovery) rewind(now time.Duration) {
+	first := len(d.lab.hosts)
+	for i, c := range d.changes {
+		if c.learned >= 0 {
+			first = i
+			break
+		}
+	}
+	if first >= len(d.changes) {
+		first = len(d.changes)
+	}
+	later := slices.Clone(d.changes[first:])
+	d.changes = d.changes[:first]
+	d.base -= 10 // it counts anew from below
+	d.epoch++
+	d.upset = now
+	for _, c := range later {
+		d.learn(now, c.host, c.state, d.lab.Scenario.Lists.AddS)
+	}
+	d.stir()
+}
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,406 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"syscall"
+	"time"
+
+	"brookferry/internal/lab/link"
+	"brookferry/internal/lab/scenario"
+	"brookferry/internal/lab/world"
+)
+
+// schedule puts the scenario's faults on the agenda. The lock is held.
+func (l *Lab) schedule() {
+	for i := range l.Scenario.Faults {
+		f := &l.Scenario.Faults[i]
+		var play func(now time.Duration)
+		play = func(now time.Duration) {
+			l.begin(i, f, now)
+			if again := l.Scenario.Again.D(); again > 0 {
+				l.at(now+again, play)
+			}
+		}
+		l.at(f.At.D(), play)
+	}
+}
+
+// until puts a fault's end on the agenda; one without a span lasts to the end. The lock is held.
+func (l *Lab) until(f *scenario.Fault, now time.Duration, end func(now time.Duration)) {
+	if f.For > 0 {
+		l.at(now+f.For.D(), end)
+	}
+}
+
+// pick is the part of a set that a fault falls on: of n parties, by the fault's own draws.
+func (l *Lab) pick(fault int, set scenario.Set, n int, zone func(int) int) (list []int) {
+	for i := range n {
+		if set.Has(i, zone(i)) {
+			list = append(list, i)
+		}
+	}
+	if set.Share < 1 {
+		most := int(math.Round(set.Share * float64(len(list))))
+		if set.Share > 0 {
+			most = max(1, most)
+		}
+		r := l.rng.Stream(fmt.Sprintf("fault/%d/%s", fault, set.Kind))
+		r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:min(most, len(list))]
+		slices.Sort(list)
+	}
+	return list
+}
+
+func (l *Lab) pickAgents(fault int, text string) (list []*agent) {
+	set, _ := scenario.ParseSet(text) // checked with the scenario
+	for _, n := range l.pick(fault, set, len(l.agents), func(n int) int { return l.zone(party(link.Agent, n)) }) {
+		list = append(list, l.agents[n])
+	}
+	return list
+}
+
+// pickHosts picks among the backends that are in use.
+func (l *Lab) pickHosts(fault int, text string) (list []*host) {
+	set, _ := scenario.ParseSet(text)
+	var use []*host
+	for _, h := range l.hosts {
+		if !h.down && h.m.State == world.Up {
+			use = append(use, h)
+		}
+	}
+	for _, n := range l.pick(fault, set, len(use), func(n int) int { return use[n].m.Zone }) {
+		list = append(list, use[n])
+	}
+	return list
+}
+
+// begin lets a fault begin. The lock is held.
+func (l *Lab) begin(i int, f *scenario.Fault, now time.Duration) {
+	label := f.What
+	if f.Who != "" {
+		label += " " + f.Who
+	}
+	if f.For > 0 || f.What == scenario.Link || f.What == scenario.Bad || f.What == scenario.Neighbour {
+		l.faults = append(l.faults, label)
+		l.until(f, now, func(time.Duration) {
+			if n := slices.Index(l.faults, label); n >= 0 {
+				l.faults = slices.Delete(l.faults, n, n+1)
+			}
+		})
+	}
+	switch f.What {
+	case scenario.Link:
+		l.linkFault(i, f, now)
+	case scenario.ZoneCut, scenario.ZoneDeaf:
+		l.border(f, now)
+	case scenario.ZoneLost:
+		l.zoneLost(f, now)
+	case scenario.Kill, scenario.Term, scenario.Stop:
+		l.processes(i, f, now)
+	case scenario.Replace, scenario.Drain:
+		l.inSteps(f, now, l.pickHosts(i, f.Who), func(h *host, now time.Duration) { l.drain(h, now, f.What == scenario.Replace) })
+	case scenario.Bad:
+		l.trouble(l.pickHosts(i, f.Who), f, now, f.Size, 0)
+	case scenario.Neighbour:
+		l.neighbour(i, f, now)
+	case scenario.ListSilent:
+		l.disc.silent, l.disc.upset = true, time.Hour
+		l.until(f, now, func(now time.Duration) {
+			l.disc.silent, l.disc.upset = false, now
+			l.disc.stir()
+		})
+	case scenario.ListAway:
+		l.disc.away, l.disc.upset = true, time.Hour
+		l.until(f, now, func(now time.Duration) { l.disc.away, l.disc.upset = false, now })
+	case scenario.ListRewind:
+		l.disc.rewind(now)
+	}
+}
+
+// inSteps does something to each of a list, in equal parts over the fault's span. The lock is held.
+func (l *Lab) inSteps(f *scenario.Fault, now time.Duration, list []*host, do func(h *host, now time.Duration)) {
+	for k, h := range list {
+		l.at(now+stepOf(f, k, len(list)), func(now time.Duration) { do(h, now) })
+	}
+}
+
+// stepOf is when in its span a fault falls on the k-th of n.
+func stepOf(f *scenario.Fault, k, n int) time.Duration {
+	if f.Steps <= 1 {
+		return 0
+	}
+	return f.For.D() / time.Duration(f.Steps) * time.Duration(k*f.Steps/n)
+}
+
+// rules puts rules on the network, and takes them off after the fault's span. The lock is held.
+func (l *Lab) rules(f *scenario.Fault, now time.Duration, rules ...link.Rule) {
+	var numbers []int
+	for _, r := range rules {
+		numbers = append(numbers, l.net.Add(r))
+	}
+	l.gates()
+	end := now + f.For.D()
+	if f.For == 0 {
+		end = time.Hour
+	}
+	for _, a := range l.agents {
+		me, it := party(link.Client, a.n), party(link.Agent, a.n)
+		for _, d := range []link.Fault{l.net.Fault(me, it, link.TCP), l.net.Fault(it, me, link.TCP)} {
+			if d != (link.Fault{}) {
+				l.check.Excuse(a.n, now, end)
+				break
+			}
+		}
+		disc := party(link.Discovery, a.n)
+		if l.net.Shut(it, disc) {
+			l.disc.upset = end
+		}
+	}
+	l.until(f, now, func(now time.Duration) {
+		for _, n := range numbers {
+			l.net.Remove(n)
+		}
+		l.gates()
+		l.unpark(now)
+		l.disc.stir()
+	})
+}
+
+// linkFault puts one rule on links. The lock is held.
+func (l *Lab) linkFault(i int, f *scenario.Fault, now time.Duration) {
+	in := func(text string) func(link.Party) bool {
+		set, _ := scenario.ParseSet(text)
+		role, n := set.Role(), len(l.agents)
+		if role == link.Backend {
+			n = len(l.hosts)
+		}
+		picked := map[int]bool{}
+		for _, k := range l.pick(i, set, n, func(k int) int { return l.zone(party(role, k)) }) {
+			picked[k] = true
+		}
+		return func(p link.Party) bool { return p.Role == role && picked[p.N] }
+	}
+	protocols := map[string]link.Protocol{"": link.TCP | link.UDP, "tcp": link.TCP, "udp": link.UDP}[f.Protocol]
+	r := link.Rule{From: in(f.From), To: in(f.To), Protocols: protocols, Fault: link.Fault{Cut: f.Cut, Refuse: f.Refuse, Reset: f.Reset,
+		Delay: f.Delay.D(), Jitter: f.Jitter.D(), Lose: f.Lose, Duplicate: f.Duplicate, Reorder: f.Reorder}}
+	rules := []link.Rule{r}
+	if f.Both {
+		rules = append(rules, link.Rule{From: r.To, To: r.From, Protocols: r.Protocols, Fault: r.Fault})
+	}
+	l.rules(f, now, rules...)
+	if f.Reset {
+		for _, h := range l.hosts {
+			h.reset(func(agent int) bool {
+				return l.net.Fault(party(link.Agent, agent), h.party(), link.TCP).Reset || l.net.Fault(h.party(), party(link.Agent, agent), link.TCP).Reset
+			})
+		}
+	}
+}
+
+// gates opens and shuts listeners as the network stands. The lock is held; shutting waits for nobody.
+func (l *Lab) gates() {
+	type job struct {
+		g    *gate
+		shut bool
+	}
+	var jobs []job
+	for _, a := range l.agents {
+		me := party(link.Agent, a.n)
+		for _, h := range l.hosts {
+			if !h.down && h.gates != nil {
+				jobs = append(jobs, job{h.gates[a.n], h.m.State == world.Silent || l.net.Shut(me, h.party())})
+			}
+		}
+		jobs = append(jobs, job{l.disc.gates[a.n], l.net.Shut(me, party(link.Discovery, a.n))})
+	}
+	l.running.Go(func() {
+		l.gateLock.Lock()
+		defer l.gateLock.Unlock()
+		for _, j := range jobs {
+			j.g.setShut(j.shut)
+		}
+	})
+}
+
+// border cuts a zone off from everyone beyond it; a deaf one still is heard. Its agents' discovery lies
+// beyond. The lock is held.
+func (l *Lab) border(f *scenario.Fault, now time.Duration) {
+	set, _ := scenario.ParseSet(f.Who)
+	inside := func(p link.Party) bool { return p.Role != link.Client && slices.Contains(set.Zones, l.zone(p)) }
+	outside := func(p link.Party) bool { return p.Role != link.Client && !inside(p) }
+	in := link.Rule{From: outside, To: inside, Protocols: link.TCP | link.UDP, Fault: link.Fault{Cut: true}}
+	rules := []link.Rule{in}
+	if f.What == scenario.ZoneCut {
+		rules = append(rules, link.Rule{From: inside, To: outside, Protocols: in.Protocols, Fault: in.Fault})
+	}
+	l.rules(f, now, rules...)
+}
+
+// zoneLost has a zone's machines fall silent, and come back cold. The lock is held.
+func (l *Lab) zoneLost(f *scenario.Fault, now time.Duration) {
+	set, _ := scenario.ParseSet(f.Who)
+	var lost []*host
+	for _, h := range l.hosts {
+		if set.Has(h.n, h.m.Zone) && !h.down {
+			lost = append(lost, h)
+			l.ended(h, h.m.Leave(now, world.Silent))
+			l.disc.learn(now, h, "gone", l.Scenario.Lists.SilentS)
+		}
+	}
+	l.gates()
+	l.until(f, now, func(now time.Duration) {
+		for _, h := range lost {
+			h.m.Start(now)
+			l.drop(h)
+			l.running.Go(func() { h.reset(nil) })
+			l.disc.learn(now, h, "ready", l.Scenario.Lists.AddS)
+		}
+		l.gates()
+		l.unpark(now)
+	})
+}
+
+// drop forgets what was on the way to or from a machine that has lost everything. The lock is held.
+func (l *Lab) drop(h *host) {
+	l.parked = slices.DeleteFunc(l.parked, func(p parked) bool { return p.from == h.party() || p.to == h.party() })
+}
+
+// drain has a backend finish its work and end; another may come in its place. The lock is held.
+func (l *Lab) drain(h *host, now time.Duration, replace bool) {
+	if h.down || h.m.State != world.Up {
+		return
+	}
+	const drainFor = 5 * time.Second // longer than it takes until everyone is told
+	l.ended(h, h.m.Drain(now))
+	l.disc.learn(now, h, "draining", l.Scenario.Lists.NoticeS)
+	l.at(now+drainFor, func(now time.Duration) {
+		l.ended(h, h.m.Leave(now, world.Gone))
+		l.refuse(h)
+		l.disc.learn(now, h, "gone", l.Scenario.Lists.NoticeS)
+	})
+	if !replace {
+		return
+	}
+	next := l.addHost(h.m.Zone, now)
+	next.m.Cell = h.m.Cell
+	l.scaleHost(next)
+	next.m.Start(now)
+	if err := next.open(); err != nil {
+		l.fail(err)
+		return
+	}
+	l.disc.learn(now, next, "ready", l.Scenario.Lists.AddS)
+}
+
+// trouble has backends fail a share of requests at once, or gives a share of them to another program. The
+// lock is held.
+func (l *Lab) trouble(list []*host, f *scenario.Fault, now time.Duration, bad, taken float64) {
+	for _, h := range list {
+		l.ended(h, h.m.Trouble(now, bad, taken))
+	}
+	l.until(f, now, func(now time.Duration) {
+		for _, h := range list {
+			l.ended(h, h.m.Trouble(now, 0, 0))
+		}
+	})
+}
+
+// neighbour gives a share of backends to another program, on and off, each in its own time. The lock is held.
+func (l *Lab) neighbour(i int, f *scenario.Fault, now time.Duration) {
+	end := l.Scenario.For.D()
+	if f.For > 0 {
+		end = now + f.For.D()
+	}
+	for _, h := range l.pickHosts(i, f.Who) {
+		r := l.rng.Stream("neighbour/" + h.m.ID)
+		on := false
+		var turn func(now time.Duration)
+		turn = func(now time.Duration) {
+			if on = !on && now < end; on {
+				l.ended(h, h.m.Trouble(now, 0, f.Size))
+			} else {
+				l.ended(h, h.m.Trouble(now, 0, 0))
+			}
+			if now < end {
+				span := time.Duration((0.5 + r.Float64()) * float64(max(f.On.D(), 100*time.Millisecond)))
+				l.at(min(end, now+span), turn)
+			}
+		}
+		l.at(now+time.Duration(r.Float64()*float64(f.On.D())), turn)
+	}
+}
+
+// processes kills, ends or stops agents. The lock is held.
+func (l *Lab) processes(i int, f *scenario.Fault, now time.Duration) {
+	list := l.pickAgents(i, f.Who)
+	for k, a := range list {
+		l.at(now+stepOf(f, k, len(list)), func(now time.Duration) {
+			if a.cmd == nil || a.expected {
+				return
+			}
+			switch f.What {
+			case scenario.Stop:
+				l.stop(a, f, now)
+			case scenario.Kill:
+				l.check.Down(a.n, now)
+				l.finish(a, f, now, syscall.SIGKILL)
+			case scenario.Term:
+				l.finish(a, f, now, syscall.SIGTERM)
+			}
+		})
+	}
+}
+
+// stop stops a process for a while. Its kernel still takes connections. The lock is held.
+func (l *Lab) stop(a *agent, f *scenario.Fault, now time.Duration) {
+	cmd := a.cmd
+	l.check.Excuse(a.n, now, now+f.For.D()+pauseSlack)
+	if err := cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		l.fail(err)
+		return
+	}
+	a.up = false
+	l.until(f, now, func(now time.Duration) {
+		if a.cmd == cmd && !a.expected {
+			_ = cmd.Process.Signal(syscall.SIGCONT) // ended meanwhile if it fails
+			a.up = true
+		}
+	})
+}
+
+// pauseSlack is the time in which a process that goes on answers what has come meanwhile.
+const pauseSlack = 200 * time.Millisecond
+
+// killAfter is how long the platform waits after SIGTERM, past the longest deadline.
+const killAfter = 700 * time.Millisecond
+
+// finish ends a process, and starts it anew if wanted. The lock is held.
+func (l *Lab) finish(a *agent, f *scenario.Fault, now time.Duration, sig syscall.Signal) {
+	cmd, ended := a.cmd, a.ended
+	a.expected, a.up = true, false
+	if err := cmd.Process.Signal(sig); err != nil {
+		l.fail(err)
+		return
+	}
+	if sig == syscall.SIGTERM {
+		l.at(now+max(l.longest(), 3*time.Second)+killAfter, func(time.Duration) {
+			_ = cmd.Process.Kill() // ended already if it fails
+		})
+	}
+	l.running.Go(func() {
+		select {
+		case <-ended:
+		case <-l.ctx.Done():
+			return
+		}
+		if f.Restart == "never" {
+			return
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.at(l.now()+f.After.D(), func(now time.Duration) { a.restart(now, f.Restart == "kept") })
+	})
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,259 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/exec"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"brookferry/internal/lab/check"
+	"brookferry/internal/lab/link"
+	"brookferry/internal/lab/world"
+)
+
+// Schema is the version of Report's form.
+const Schema = 1
+
+// Report is what came out of a run. Shares are of 1, spans as their names say.
+type Report struct {
+	Schema   int     `json:"schema"`
+	Scenario string  `json:"scenario"`
+	Seed     uint64  `json:"seed"`
+	Commit   string  `json:"commit"`
+	Agents   int     `json:"agents"`
+	Backends int     `json:"backends"`
+	For      float64 `json:"for_s"`
+	Settle   float64 `json:"settle_s"`
+	Verdict  string  `json:"verdict"` // "kept", "broken", "crashed", "void", "ended early"
+
+	Offered     int     `json:"offered"` // clients' requests, each with all its tries
+	ServedInAim float64 `json:"served_in_aim"`
+	Refused     float64 `json:"refused"`
+	Failed      float64 `json:"failed"`
+	Lost        int     `json:"lost"`
+	Attempts    float64 `json:"attempts_per_request"`
+	CrossZone   float64 `json:"cross_zone_share"`
+	Worst10s    float64 `json:"worst_10s"`
+	Worst10sAt  int     `json:"worst_10s_at_s"`
+	FallOvers   int     `json:"fall_overs"`
+	Latency     P       `json:"latency_ms"`
+	Rules       Rules   `json:"rules"`
+	Crashes     int     `json:"crashes"`
+	Crash       string  `json:"crash,omitempty"`
+	Late        struct {
+		P50 float64 `json:"p50"`
+		P99 float64 `json:"p99"`
+	} `json:"lab_late_ms"`
+	Agent     Usage              `json:"agent"`
+	Datagrams float64            `json:"datagrams_per_s"`
+	WorkScale float64            `json:"work_scale"`
+	Classes   map[string]float64 `json:"served_in_aim_by_class"`
+	Tenants   map[string]float64 `json:"served_in_aim_by_tenant"`
+	Zones     map[string]float64 `json:"served_in_aim_by_zone"`
+	Windows   []check.Window     `json:"windows"`
+}
+
+// P are percentiles, ms.
+type P struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// Rules says what was broken.
+type Rules struct {
+	Broken  int              `json:"broken"`
+	First   *check.Violation `json:"first"`
+	ByRule  map[string]int   `json:"by_rule,omitempty"`
+	History *check.Request   `json:"history,omitempty"` // of the first offender
+}
+
+// Verdicts.
+const (
+	Kept    = "kept"
+	Broken  = "broken"
+	Crashed = "crashed"
+	Void    = "void"
+)
+
+// report sums a run up. The lock is held.
+func (l *Lab) report() *Report {
+	s := l.Scenario
+	l.tally.Close(len(l.tally.Windows))
+	sum := l.tally.Sum()
+	violations, broken := l.check.Broken()
+	r := &Report{Schema: Schema, Scenario: s.Name, Seed: l.Seed, Commit: commit(), Agents: len(l.agents), Backends: s.Fleet.Backends,
+		For: s.For.D().Seconds(), Settle: s.Settle.D().Seconds(), Offered: sum.Offered, ServedInAim: share(sum.InAim, sum.Worth),
+		Refused: share(float64(sum.Refused), float64(sum.Offered)), Failed: share(float64(sum.Failed), float64(sum.Offered)), Lost: sum.Lost,
+		Attempts: share(float64(l.tally.Attempts), float64(sum.Offered)), CrossZone: share(float64(l.tally.Cross), float64(l.tally.Attempts)),
+		FallOvers: l.fallen, Crashes: len(l.crashes), WorkScale: l.scale,
+		Datagrams: float64(l.datagrams) / max(1, l.now().Seconds()),
+		Classes:   map[string]float64{}, Tenants: map[string]float64{}, Zones: map[string]float64{}, Windows: l.tally.Windows}
+	const window = 10 // s
+	r.Worst10s, r.Worst10sAt = l.tally.Worst(window)
+	at := func(q float64) float64 { return float64(l.tally.Latency.ValueAtQuantile(q)) / 1e3 }
+	r.Latency = P{at(50), at(99), at(99.9)}
+	r.Late.P50, r.Late.P99 = float64(l.late.ValueAtQuantile(50))/1e3, float64(l.late.ValueAtQuantile(99))/1e3
+	r.Rules.Broken = broken
+	if len(violations) > 0 {
+		r.Rules.First, r.Rules.History, r.Rules.ByRule = &violations[0], l.check.First(), map[string]int{}
+		for _, v := range violations {
+			r.Rules.ByRule[v.Rule]++
+		}
+	}
+	for i, p := range l.tally.Classes {
+		r.Classes[l.kinds[i].name] = share(p.InAim, p.Worth)
+	}
+	for i, p := range l.tally.Tenants {
+		r.Tenants[tenants[i].name] = share(p.InAim, p.Worth)
+	}
+	for i, p := range l.tally.Zones {
+		r.Zones[s.Fleet.Zones[i]] = share(p.InAim, p.Worth)
+	}
+	for _, a := range l.agents {
+		r.Agent.RSS, r.Agent.FDs = max(r.Agent.RSS, a.usage.RSS), max(r.Agent.FDs, a.usage.FDs)
+		r.Agent.CPU += a.usage.CPU
+	}
+	switch {
+	case r.Late.P99 > s.Limits.LateMs: // whatever else was seen: the lab itself may be the cause
+		r.Verdict = Void
+	case r.Crashes > 0:
+		r.Verdict, r.Crash = Crashed, l.crashes[0]
+	case broken > 0:
+		r.Verdict = Broken
+	default:
+		r.Verdict = Kept
+	}
+	return r
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
+// commit is the version of this program's source, if it is known.
+func commit() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		rev, dirty := "", ""
+		for _, s := range info.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				rev = s.Value
+			case s.Key == "vcs.modified" && s.Value == "true":
+				dirty = "+"
+			}
+		}
+		if rev != "" {
+			return rev + dirty
+		}
+	}
+	out, err := exec.Command("git", "rev-parse", "HEAD").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
+
+// View is how a run stands after a second.
+type View struct {
+	At       time.Duration
+	Last     check.Window // the newest second whose requests have had time to end
+	LastAt   int
+	Agents   int
+	Backends int
+	Broken   int
+	Faults   []string
+	Zones    []ZoneView
+}
+
+// ZoneView is one zone's part of it.
+type ZoneView struct {
+	Name             string
+	Agents, Backends int
+	Held             int // requests at its backends
+}
+
+// everySecond shows how the run stands. The lock is held.
+func (l *Lab) everySecond(n int) {
+	l.at(time.Duration(n+1)*time.Second, func(now time.Duration) {
+		v := View{At: now, Faults: append([]string(nil), l.faults...)}
+		_, v.Broken = l.check.Broken()
+		for _, name := range l.Scenario.Fleet.Zones {
+			v.Zones = append(v.Zones, ZoneView{Name: name})
+		}
+		for _, a := range l.agents {
+			if a.up {
+				v.Agents++
+				v.Zones[l.zone(party(link.Agent, a.n))].Agents++
+			}
+		}
+		for _, h := range l.hosts {
+			if h.m.State == world.Up && !h.down {
+				v.Backends++
+				z := &v.Zones[h.m.Zone]
+				z.Backends++
+				z.Held += h.m.Report().Inflight
+			}
+		}
+		if n < len(l.tally.Windows) {
+			l.tally.Windows[n].Agents, l.tally.Windows[n].Backends = v.Agents, v.Backends
+		}
+		const behind = 3 // s: most requests have ended by then
+		if v.LastAt = n - behind; v.LastAt >= 0 && v.LastAt < len(l.tally.Windows) {
+			l.tally.Close(max(0, v.LastAt-int(l.longest()/time.Second)))
+			v.Last = l.tally.Peek(v.LastAt)
+		}
+		if l.Second != nil {
+			second := l.Second
+			go second(l, v)
+		}
+		l.everySecond(n + 1)
+	})
+}
+
+// recorder writes finished requests as JSON, one a line.
+type recorder struct {
+	w   *bufio.Writer
+	enc *json.Encoder
+	err error
+}
+
+func newRecorder(w io.Writer) *recorder {
+	if w == nil {
+		return &recorder{}
+	}
+	b := bufio.NewWriterSize(w, 1<<16)
+	return &recorder{w: b, enc: json.NewEncoder(b)}
+}
+
+func (r *recorder) request(q *check.Request) {
+	if r.enc != nil && r.err == nil {
+		r.err = r.enc.Encode(q)
+	}
+}
+
+// Flush writes what is left, and tells what went wrong on the way.
+func (r *recorder) flush() error {
+	if r.w == nil || r.err != nil {
+		return r.err
+	}
+	return r.w.Flush()
+}
+
+// Flush writes what is left of the events.
+func (l *Lab) Flush() error { return l.recorder.flush() }
+
+// WriteHistory prints a request's history, a line an event.
+func WriteHistory(w io.Writer, q *check.Request) {
+	fmt.Fprintf(w, "request %s, try %d of %s, by agent %d, given up %v after it was sent\n", q.ID, q.Try, q.First, q.Agent, q.GiveUp.Round(time.Millisecond))
+	for _, e := range q.History {
+		fmt.Fprintf(w, "  %10.3f s  %-12s %s\n", e.At.Seconds(), e.Who, e.What)
+	}
+}
