Show the lab's checkers at work on agents that are broken in a stated way

Need: a checker that was never seen to fail shows nothing. Change: twelve stand-in agents, real processes, each wrong in one way (sends twice, refuses what ran, hangs up, never or late answers, forges, invents, rewrites, ignores lists, rushes a cold backend, dies, hoards): each run ends with that verdict, an honest one with none. The lab killed outright leaves no process. The clock that a run reads is set once (a race that -race showed); a request that crosses a close is sent once more, on a new connection.

--- /dev/null
+++ b/internal/lab/check/check_test.go
@@ -0,0 +1,158 @@
+package check
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	ms    = time.Millisecond
+	grace = 500 * ms
+	slack = 50 * ms
+)
+
+func rules() Rules {
+	return Rules{Classes: []Class{{"get", Safe, 0}, {"put", Keyed, 10 * time.Second}, {"pay", Once, 0}}, DrainGrace: grace, Answer: grace,
+		Slack: slack, FewCut: 0.005}
+}
+
+// step is one thing that a checker is told, at a time.
+type step func(c *Checker)
+
+func open(at time.Duration, class int) step {
+	return func(c *Checker) {
+		c.Open(at, &Request{ID: "r", First: "r", Agent: 1, Class: class, Sent: at, GiveUp: time.Second, Print: 7})
+		c.Take(at, "r")
+	}
+}
+
+func arrive(at time.Duration, backend string, cell int) step {
+	return func(c *Checker) {
+		c.Arrive(at, Arrival{ID: "r", Agent: 1, Backend: backend, Cell: cell, Print: 7, Came: at})
+	}
+}
+
+func reply(at time.Duration, backend string, never bool) step {
+	return func(c *Checker) { c.Reply(at, "r", backend, "answers", never) }
+}
+
+func end(at time.Duration, a Answer) step { return func(c *Checker) { c.End(at, "r", a) } }
+
+func tell(at time.Duration, away bool) step {
+	return func(c *Checker) { c.Tell(at, 1, "x", away, -1) }
+}
+
+func excuse(from, to time.Duration) step { return func(c *Checker) { c.Excuse(1, from, to) } }
+
+// What is told, and the rule that this breaks; "": none.
+func TestRules(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rule  string
+		steps []step
+	}{
+		{"served", "", []step{open(0, 2), arrive(ms, "x", 0), end(100*ms, Served)}},
+		{"served within the slack", "", []step{open(0, 2), end(time.Second+grace+slack, Served)}},
+		{"served past it", RuleAnswer, []step{open(0, 2), end(time.Second+grace+slack+1, Served)}},
+		{"never answered", RuleAnswer, []step{open(0, 2), end(3*time.Second, Unanswered)}},
+		{"not ended at all", RuleAnswer, []step{open(0, 2)}},
+		{"never answered by a stopped agent", "", []step{open(0, 2), excuse(500*ms, 3*time.Second), end(3*time.Second, Unanswered)}},
+		{"never answered after a stop", RuleAnswer, []step{excuse(0, ms), open(2*ms, 2), end(3*time.Second, Unanswered)}},
+		{"never taken", "", []step{func(c *Checker) { c.Open(0, &Request{ID: "r", Class: 2, Agent: 1}) }, end(3*time.Second, Closed)}},
+		{"closed", RuleAnswer, []step{open(0, 2), end(100*ms, Closed)}},
+		{"closed while its agent is down", "", []step{open(0, 2), func(c *Checker) { c.Down(1, 50*ms) }, end(100*ms, Closed)}},
+		{"closed after it is up again", RuleAnswer, []step{func(c *Checker) { c.Down(1, 0); c.Running(1, ms) }, open(2*ms, 2), end(100*ms, Closed)}},
+		{"closed new, more than few", RuleAnswer, []step{open(0, 2), end(100*ms, ClosedNew)}},
+		{"foreign", RuleAnswer, []step{open(0, 2), end(100*ms, Foreign)}},
+		{"safe twice", "", []step{open(0, 0), arrive(ms, "x", 0), arrive(2*ms, "y", 1), end(100*ms, Refused)}},
+		{"once twice", RuleDuplicate, []step{open(0, 2), arrive(ms, "x", 0), arrive(2*ms, "y", 0)}},
+		{"once after it was turned away", "", []step{open(0, 2), arrive(ms, "x", 0), reply(2*ms, "x", true), arrive(3*ms, "x", 0), end(9*ms, Served)}},
+		{"once after an error", RuleDuplicate, []step{open(0, 2), arrive(ms, "x", 0), reply(2*ms, "x", false), arrive(3*ms, "y", 0)}},
+		{"keyed in its pod", "", []step{open(0, 1), arrive(ms, "x", 3), arrive(2*ms, "y", 3), end(9*ms, Served)}},
+		{"keyed in another pod", RuleDuplicate, []step{open(0, 1), arrive(ms, "x", 3), arrive(2*ms, "y", 4)}},
+		{"keyed past its window", RuleDuplicate, []step{open(0, 1), arrive(ms, "x", 3), arrive(10*time.Second+slack+2*ms, "y", 3)}},
+		{"refused though it may have run", RuleDuplicate, []step{open(0, 1), arrive(ms, "x", 3), end(9*ms, Refused)}},
+		{"refused after it was turned away", "", []step{open(0, 2), arrive(ms, "x", 0), reply(2*ms, "x", true), end(9*ms, Refused)}},
+		{"failed though it may have run", "", []step{open(0, 2), arrive(ms, "x", 3), end(9*ms, Failed)}},
+		{"to a draining backend in the grace", "", []step{tell(0, true), open(0, 2), arrive(grace+slack, "x", 0), end(grace+60*ms, Served)}},
+		{"past the grace", RuleDrain, []step{tell(0, true), open(0, 2), arrive(grace+slack+2, "x", 0), end(grace+60*ms, Served)}},
+		{"told again changes nothing", RuleDrain, []step{tell(0, true), tell(grace, true), open(0, 2), arrive(grace+slack+2, "x", 0)}},
+		{"ready again", "", []step{tell(0, true), tell(ms, false), open(0, 2), arrive(time.Second, "x", 0), end(time.Second, Served)}},
+		{"stopped in the grace", "", []step{tell(0, true), excuse(ms, time.Second), open(0, 2), arrive(time.Second+grace, "x", 0), end(time.Second+grace, Served)}},
+		{"stopped long after", RuleDrain, []step{tell(0, true), excuse(time.Second, 2*time.Second), open(0, 2), arrive(1500*ms, "x", 0)}},
+		{"held up by the network", "", []step{tell(0, true), open(0, 2), func(c *Checker) {
+			c.Arrive(time.Second, Arrival{ID: "r", Agent: 1, Backend: "x", Print: 7, Came: 100 * ms})
+		}, end(time.Second, Served)}},
+		{"that nobody sent", RuleUnsent, []step{arrive(ms, "x", 0)}},
+		{"changed on the way", RuleUnsent, []step{open(0, 2), func(c *Checker) { c.Arrive(ms, Arrival{ID: "r", Agent: 1, Backend: "x", Print: 8}) }}},
+		{"through another agent", RuleUnsent, []step{open(0, 2), func(c *Checker) { c.Arrive(ms, Arrival{ID: "r", Agent: 2, Backend: "x", Print: 7}) }}},
+		{"pushed over", RuleCold, []step{func(c *Checker) { c.Fell(ms, "x", 0.7) }}},
+		{"pushed over by agents that could not know", "", []step{func(c *Checker) { c.Fell(ms, "x", 0.6) }}},
+	} {
+		checker := New(rules(), nil)
+		for _, s := range c.steps {
+			s(checker)
+		}
+		if c.rule == RuleAnswer || c.rule == "" {
+			checker.Finish(4 * time.Second)
+		}
+		broken, n := checker.Broken()
+		switch {
+		case c.rule == "" && n > 0:
+			t.Errorf("%s: broken %+v", c.name, broken[0])
+		case c.rule != "" && (n == 0 || broken[0].Rule != c.rule):
+			t.Errorf("%s: %d broken %+v, want %s", c.name, n, broken, c.rule)
+		}
+	}
+}
+
+// A visitor's request is served and not judged; memory is that of the last requests alone.
+func TestVisitorsAndMemory(t *testing.T) {
+	r := rules()
+	r.Visitors = true
+	recorded := 0
+	c := New(r, func(*Request) { recorded++ })
+	if c.Arrive(0, Arrival{ID: "v", Backend: "x"}) {
+		t.Error("a visitor passes for a client")
+	}
+	for i := range 1000 {
+		at := time.Duration(i) * time.Second
+		id := string(rune('a'+i%26)) + time.Duration(i).String()
+		c.Open(at, &Request{ID: id, Agent: 1, Class: 0, Sent: at, GiveUp: time.Second})
+		c.End(at+ms, id, Served)
+	}
+	if len(c.requests) > 20 || recorded < 980 {
+		t.Errorf("%d requests kept, %d recorded", len(c.requests), recorded)
+	}
+	if _, n := c.Broken(); n != 0 {
+		t.Errorf("%d broken", n)
+	}
+}
+
+// The worst ten seconds, shares and parts of a run, by its windows.
+func TestTally(t *testing.T) {
+	tally := NewTally(2 * time.Second)
+	for s := range 20 {
+		for i := range 10 {
+			o := Outcome{Intended: time.Duration(s)*time.Second + time.Duration(i)*ms, Worth: 1, Answer: Served, InAim: true, Tries: 1}
+			o.End = o.Intended + 100*ms
+			if s >= 8 && s < 13 || s < 2 {
+				o.Answer, o.InAim = Refused, false
+			}
+			tally.End(o)
+			tally.Attempt(o.Intended, i%2 == 0)
+		}
+	}
+	if sum := tally.Sum(); sum.Offered != 180 || sum.InAim != 130 || sum.Refused != 50 {
+		t.Errorf("sum %+v", sum)
+	}
+	if share, from := tally.Worst(10); share != 0.5 || from != 3 {
+		t.Errorf("worst 10 s: %v from %d", share, from)
+	}
+	if tally.Attempts != 180 || tally.Cross != 90 {
+		t.Errorf("%d attempts, %d cross", tally.Attempts, tally.Cross)
+	}
+	if p := tally.Peek(3); p.P50 != 100 || p.P99 != 100 {
+		t.Errorf("percentiles %v %v", p.P50, p.P99)
+	}
+}
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -285,8 +285,8 @@
 
 // exchange is the request itself. One that crosses the agent's closing of an idle connection is sent once more.
 func (l *Lab) exchange(p *play, id string) (check.Answer, time.Duration) {
-	for {
-		c, err := p.agent.connect()
+	for again := false; ; again = true {
+		c, err := p.agent.connect(again)
 		if err != nil {
 			return check.Unreachable, 0
 		}
@@ -374,10 +374,10 @@
 	return check.Unanswered
 }
 
-// connect returns a connection that is idle, or a new one.
-func (a *agent) connect() (*clientConn, error) {
+// connect returns a connection that is idle, or a new one; fresh: a new one.
+func (a *agent) connect(fresh bool) (*clientConn, error) {
 	a.mu.Lock()
-	if n := len(a.idle); n > 0 {
+	if n := len(a.idle); n > 0 && !fresh {
 		c := a.idle[n-1]
 		a.idle = a.idle[:n-1]
 		a.mu.Unlock()
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -148,7 +148,7 @@
 		s := member{ID: spec.ID, Addr: c.host.addr(a.n), Zone: d.lab.Scenario.Fleet.Zones[spec.Zone],
 			Kind: machineKinds[spec.Kind].name, Cell: spec.Cell, State: c.state, Weight: spec.Weight}
 		if c.started >= 0 {
-			s.Started = d.lab.start.Add(c.started).UnixMilli()
+			s.Started = d.lab.wall(c.started).UnixMilli()
 		}
 		if i, known := at[s.ID]; known {
 			m.Servers[i] = s
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,7 +43,8 @@
 type Lab struct {
 	Options
 	block *block
-	start time.Time
+	base  time.Time    // when the lab was made
+	begun atomic.Int64 // when its time began to count, after base, ns
 	rng   rng.Source
 	scale float64 // of work and of every time that goes with it
 	kinds []class
@@ -109,7 +111,10 @@
 	return e
 }
 
-func (l *Lab) now() time.Duration { return time.Since(l.start) }
+func (l *Lab) now() time.Duration { return time.Since(l.base) - time.Duration(l.begun.Load()) }
+
+// wall is a time of the run by the clock that every machine reads.
+func (l *Lab) wall(t time.Duration) time.Time { return l.base.Add(time.Duration(l.begun.Load()) + t) }
 
 // at puts something on the agenda. The lock is held.
 func (l *Lab) at(t time.Duration, do func(now time.Duration)) {
@@ -229,7 +234,7 @@
 	if err := os.MkdirAll(l.Dir, 0o755); err != nil {
 		return err
 	}
-	l.start = time.Now()
+	l.base = time.Now()
 	l.machines()
 	l.classes()
 	l.check = check.New(check.Rules{Classes: l.checkClasses(), DrainGrace: drainGrace, Answer: answerSlack, Slack: socketSlack,
@@ -270,7 +275,7 @@
 		return nil, err
 	}
 	l.mu.Lock()
-	l.start = time.Now() // the run's time begins with its clients
+	l.begun.Store(int64(time.Since(l.base))) // the run's time begins with its clients
 	l.agenda, l.seq = nil, 0
 	for _, a := range l.agents {
 		l.check.Forget(a.n)
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,372 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"brookferry/internal/lab/check"
+	"brookferry/internal/lab/scenario"
+)
+
+// patience is how long a test waits for what must come: far more than it takes anywhere.
+const patience = 30 * time.Second
+
+// small is a fleet that any machine bears, with times short enough for a test and no bound on the lab's lateness:
+// the verdicts asked for here don't hang on it.
+const small = `
+for = "3s"
+settle = "100ms"
+[fleet]
+agents = 3
+backends = 9
+pod = 3
+[load]
+rate = 60
+of = 0.05
+impatient = 0.0
+[world]
+error_rate = [0.0, 0.0]
+[lists]
+notice_s = [0.05, 0.1]
+add_s = [0.05, 0.1]
+[limits]
+late_ms = 60000
+`
+
+// slow has requests take long enough that faults fall on them.
+const slow = `
+for = "4s"
+settle = "100ms"
+[fleet]
+agents = 3
+backends = 9
+pod = 3
+[load]
+rate = 40
+of = 0.3
+[lists]
+notice_s = [0.05, 0.1]
+silent_s = [0.5, 0.6]
+add_s = [0.05, 0.1]
+[limits]
+late_ms = 60000
+`
+
+func read(t *testing.T, text string) *scenario.Scenario {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "test.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func options(t *testing.T, mode, text string) Options {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Scenario: read(t, text), Seed: 1, Agent: []string{self}, Env: []string{"LAB_TEST_AGENT=" + mode}, Dir: t.TempDir()}
+}
+
+func playOut(t *testing.T, o Options) *Report {
+	t.Helper()
+	l, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r, err := l.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Each checker finds what it is there for, in a run with an agent that does just that wrong, and nothing where
+// nothing is wrong.
+func TestCheckersFindBrokenAgents(t *testing.T) {
+	const drains = "\n[[fault]]\nat = \"300ms\"\nwhat = \"drain\"\nwho = \"backends share=0.5\"\n"
+	const replaces = "\n[[fault]]\nat = \"200ms\"\nwhat = \"replace\"\nwho = \"backends n=0\"\n"
+	rushed := strings.Replace(strings.Replace(small, "rate = 60", "rate = 150", 1), "of = 0.05", "of = 0.7", 1) + replaces
+	for _, c := range []struct{ mode, text, verdict, rule string }{
+		{"honest", small, Kept, ""},
+		{"sends-twice", small, Broken, check.RuleDuplicate},
+		{"refuses-what-ran", small, Broken, check.RuleDuplicate},
+		{"hangs-up", small, Broken, check.RuleAnswer},
+		{"never-answers", small, Broken, check.RuleAnswer},
+		{"answers-late", small, Broken, check.RuleAnswer},
+		{"forges", small, Broken, check.RuleAnswer},
+		{"invents", small, Broken, check.RuleUnsent},
+		{"rewrites", small, Broken, check.RuleUnsent},
+		{"ignores-lists", small + drains, Broken, check.RuleDrain},
+		{"rushes-the-newest", rushed, Broken, check.RuleCold},
+		{"dies", small, Crashed, ""},
+		{"hoards", small, Crashed, ""},
+	} {
+		t.Run(c.mode, func(t *testing.T) {
+			t.Parallel()
+			r := playOut(t, options(t, c.mode, c.text))
+			if r.Verdict != c.verdict {
+				t.Fatalf("%s, want %s; first: %+v, crash: %s", r.Verdict, c.verdict, r.Rules.First, r.Crash)
+			}
+			if c.rule != "" && r.Rules.ByRule[c.rule] == 0 {
+				t.Errorf("broken rules: %v, want %s", r.Rules.ByRule, c.rule)
+			}
+			if c.rule == check.RuleDuplicate && len(r.Rules.History.History) < 4 {
+				t.Errorf("the offender's history has %d lines", len(r.Rules.History.History))
+			}
+		})
+	}
+}
+
+// Real agents keep every rule through faults between several processes.
+func TestRealAgentsKeepTheRules(t *testing.T) {
+	for name, faults := range map[string]string{
+		"killed":     `what = "kill"` + "\n" + `who = "agents share=0.7"` + "\n" + `after = "100ms"`,
+		"ended":      `what = "term"` + "\n" + `who = "agents n=1"` + "\n" + `restart = "kept"`,
+		"stopped":    `what = "stop"` + "\n" + `who = "agents n=0,2"` + "\n" + `for = "1s"`,
+		"zone lost":  `what = "zone-lost"` + "\n" + `who = "zone zone=0"` + "\n" + `for = "1500ms"`,
+		"zone cut":   `what = "zone-cut"` + "\n" + `who = "zone zone=1"` + "\n" + `for = "1500ms"`,
+		"zone deaf":  `what = "zone-deaf"` + "\n" + `who = "zone zone=2"` + "\n" + `for = "1500ms"`,
+		"replaced":   `what = "replace"` + "\n" + `who = "backends share=0.6"` + "\n" + `for = "1s"` + "\n" + `steps = 3`,
+		"list again": `what = "list-rewind"`,
+		"links":      `what = "link"` + "\n" + `from = "agents"` + "\n" + `to = "backends share=0.5"` + "\n" + `both = true` + "\n" + `reset = true` + "\n" + `lose = 0.2` + "\n" + `for = "1s"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := playOut(t, options(t, "real", slow+"[[fault]]\nat = \"1s\"\n"+faults+"\n"))
+			if r.Verdict != Kept {
+				var history bytes.Buffer
+				if r.Rules.History != nil {
+					WriteHistory(&history, r.Rules.History)
+				}
+				t.Errorf("%s: %+v %s\n%s", r.Verdict, r.Rules.First, r.Crash, history.String())
+			}
+			if r.ServedInAim == 0 {
+				t.Error("nothing was served")
+			}
+		})
+	}
+}
+
+// A lab that is late gives no verdict, whatever it saw.
+func TestLateLabGivesNoVerdict(t *testing.T) {
+	r := playOut(t, options(t, "sends-twice", strings.Replace(small, "late_ms = 60000", "late_ms = 0.0001", 1)))
+	if r.Verdict != Void || r.Rules.Broken == 0 {
+		t.Errorf("%s with %d broken, want a void run of which some are", r.Verdict, r.Rules.Broken)
+	}
+}
+
+// playUntilKilled is a lab in a process of its own. It prints its agents' process ids.
+func playUntilKilled() {
+	dir, err := os.MkdirTemp("", "lab-test-")
+	if err != nil {
+		panic(err)
+	}
+	s := scenario.Default()
+	s.Fleet.Agents, s.Fleet.Backends, s.Load.Rate = 3, 3, 30
+	self, err := os.Executable()
+	if err != nil {
+		panic(err)
+	}
+	l, err := New(Options{Scenario: &s, Seed: 1, Agent: []string{self}, Env: []string{"LAB_TEST_AGENT=real"}, Dir: dir, Ready: func(l *Lab) {
+		for _, a := range l.agents {
+			fmt.Println(a.cmd.Process.Pid, dir)
+		}
+		l.agents[1].cmd.Process.Signal(syscall.SIGSTOP)
+		fmt.Println("ready")
+	}})
+	if err != nil {
+		panic(err)
+	}
+	_, _ = l.Run(context.Background()) // it is killed
+}
+
+// A lab that is killed outright leaves no process behind, not even a stopped one.
+func TestKilledLabLeavesNoProcess(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), "LAB_TEST_AGENT=lab")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var pids []int
+	dir := ""
+	for lines := bufio.NewScanner(out); lines.Scan() && lines.Text() != "ready"; {
+		pid := 0
+		if _, err := fmt.Sscan(lines.Text(), &pid, &dir); err != nil {
+			t.Fatal(err)
+		}
+		pids = append(pids, pid)
+	}
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait() // killed
+	if dir != "" {
+		defer os.RemoveAll(dir)
+	}
+	if len(pids) != 3 {
+		t.Fatalf("%d agents", len(pids))
+	}
+	for _, pid := range pids {
+		for end := time.Now().Add(patience); alive(pid); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("process %d is still there", pid)
+			}
+		}
+	}
+}
+
+// alive reports whether a process runs; one that has ended and that nobody has waited for does not.
+func alive(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return !strings.HasPrefix(rest, "Z") && !strings.HasPrefix(rest, "X")
+}
+
+// The same seed gives the same arrivals and requests; what one agent draws shifts nothing of another's.
+func TestSameSeedSameArrivals(t *testing.T) {
+	draw := func(seed uint64, agents string) map[int][]string {
+		o := options(t, "real", strings.Replace(small, "agents = 3", agents, 1))
+		o.Seed = seed
+		l, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		got := map[int][]string{}
+		for _, a := range l.agents {
+			at := time.Duration(0)
+			for range 50 {
+				at = l.gap(a, at)
+				p := l.draw(a, at)
+				got[a.n] = append(got[a.n], fmt.Sprint(p.first, p.class, p.tenant, p.sid, p.work, p.idem, string(p.body)))
+			}
+		}
+		return got
+	}
+	one, again, other := draw(1, "agents = 3"), draw(1, "agents = 3"), draw(2, "agents = 3")
+	if !reflect.DeepEqual(one, again) {
+		t.Error("the same seed drew something else")
+	}
+	if reflect.DeepEqual(one, other) {
+		t.Error("another seed drew the same")
+	}
+	if more := draw(1, "agents = 4"); !reflect.DeepEqual(one[0], more[0]) {
+		t.Error("a fourth agent changed what the first is asked")
+	}
+}
+
+// Two labs at once have addresses of their own.
+func TestTwoLabsDoNotMeet(t *testing.T) {
+	a, err := claimBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	b, err := claimBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.close()
+	if a.n == b.n || a.agent(3) == b.agent(3) || a.world(3) == a.agent(3) {
+		t.Errorf("blocks %d and %d", a.n, b.n)
+	}
+}
+
+// Through a gate that is shut no connection comes up, and none refuses; open again, it takes them, and those who
+// waited in its queue are reset.
+func TestGate(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g, err := newGate("127.0.0.1", func(c net.Conn) net.Conn { return c })
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan net.Conn)
+	go func() {
+		defer close(accepted)
+		for {
+			c, err := g.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	dial := func(limit time.Duration) error {
+		c, err := net.DialTimeout("tcp4", g.Addr().String(), limit)
+		if err == nil {
+			defer c.Close()
+			(<-accepted).Close()
+		}
+		return err
+	}
+	if err := dial(patience); err != nil {
+		t.Fatal(err)
+	}
+	g.setShut(true)
+	var late net.Error
+	if err := dial(200 * time.Millisecond); !errors.As(err, &late) || !late.Timeout() {
+		t.Fatalf("a shut gate: %v", err)
+	}
+	g.setShut(false)
+	if err := dial(patience); err != nil {
+		t.Fatal(err)
+	}
+	g.Close()
+	for range accepted {
+	}
+}
+
+// What needs more descriptors than there are is refused before anything starts.
+func TestTooManyAgents(t *testing.T) {
+	o := options(t, "real", strings.Replace(strings.Replace(small, "agents = 3", "agents = 2000", 1), "backends = 9", "backends = 4000", 1))
+	if _, err := New(o); err == nil || !strings.Contains(err.Error(), "descriptors") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// The platform's agent has nothing of the lab in it.
+func TestPlatformAgentHasNoLab(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "brookferry/cmd/vetchhaven").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range strings.Fields(string(out)) {
+		if strings.HasPrefix(p, "brookferry/internal/lab") || strings.Contains(p, "/kong") || strings.Contains(p, "hdrhistogram") {
+			t.Errorf("it is linked with %s", p)
+		}
+	}
+	if !strings.Contains(string(out), "brookferry/internal/agent") {
+		t.Error("it is not linked with the agent")
+	}
+}
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,87 @@
+package link
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/rng"
+)
+
+var a, b, c = Party{Agent, 0}, Party{Agent, 1}, Party{Backend, 0}
+
+func network() *Net {
+	return New(func(_, _ Party) time.Duration { return time.Millisecond }, 0.2, rng.New(1))
+}
+
+func is(list ...Party) func(Party) bool {
+	return func(p Party) bool { return slices.Contains(list, p) }
+}
+
+// A rule acts on its own pairs, direction and protocol, and is gone once it is taken off.
+func TestRulesActWhereTheySay(t *testing.T) {
+	n := network()
+	id := n.Add(Rule{From: is(a), To: is(c), Protocols: TCP, Fault: Fault{Cut: true}})
+	more := n.Add(Rule{From: is(a), To: is(c), Protocols: TCP | UDP, Fault: Fault{Delay: time.Second, Lose: 0.1}})
+	for _, x := range []struct {
+		from, to Party
+		p        Protocol
+		want     Fault
+	}{
+		{a, c, TCP, Fault{Cut: true, Delay: time.Second, Lose: 0.1}},
+		{a, c, UDP, Fault{Delay: time.Second, Lose: 0.1}},
+		{c, a, TCP, Fault{}},
+		{b, c, TCP, Fault{}},
+	} {
+		if got := n.Fault(x.from, x.to, x.p); got != x.want {
+			t.Errorf("%v to %v: %+v", x.from, x.to, got)
+		}
+	}
+	if !n.Shut(a, c) || !n.Shut(c, a) || n.Shut(b, c) {
+		t.Error("a connection needs both directions")
+	}
+	if n.Way(a, c, TCP, "x") != nil {
+		t.Error("a cut way let something through")
+	}
+	n.Remove(id)
+	n.Remove(more)
+	if n.Shut(a, c) || n.Fault(a, c, TCP) != (Fault{}) {
+		t.Error("rules outlast their end")
+	}
+}
+
+// Shares come out as stated, and a message meets the same fate each time, whatever was sent before it.
+func TestShares(t *testing.T) {
+	n := network()
+	n.Add(Rule{From: is(a), To: is(b), Protocols: UDP | TCP, Fault: Fault{Lose: 0.3, Duplicate: 0.2, Reorder: 0.1}})
+	const messages = 20000
+	lost, twice, late, resent := 0, 0, 0, 0
+	for i := range messages {
+		id := fmt.Sprint(i)
+		ways := n.Way(a, b, UDP, id)
+		if !slices.Equal(ways, n.Way(a, b, UDP, id)) {
+			t.Fatal("another fate at the second look")
+		}
+		switch {
+		case len(ways) == 0:
+			lost++
+		case ways[0] > 2*time.Millisecond:
+			late++
+		}
+		if len(ways) == 2 {
+			twice++
+		}
+		if tcp := n.Way(a, b, TCP, id); len(tcp) != 1 {
+			t.Fatalf("over TCP %d copies arrive", len(tcp))
+		} else if tcp[0] >= 200*time.Millisecond {
+			resent++
+		}
+	}
+	for name, x := range map[string][2]float64{"lost": {float64(lost), 0.3}, "twice": {float64(twice), 0.7 * 0.2}, "late": {float64(late), 0.7 * 0.1 * 0.95},
+		"sent again": {float64(resent), 0.3}} {
+		if share := x[0] / messages; share < x[1]*0.9 || share > x[1]*1.1 {
+			t.Errorf("%s: %v, want %v", name, share, x[1])
+		}
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -151,8 +151,8 @@
 func Default() Scenario {
 	return Scenario{
 		For: strict.Duration(30 * time.Second), Settle: strict.Duration(3 * time.Second),
-		Fleet: Fleet{Agents: 8, Backends: 18, Zones: []string{"riga-ziepniekkalns", "riga-purvciems", "marupe"}, Pod: 6},
-		Load: Load{Rate: 400, Of: 0.7, Skew: 0.8, Keys: 1200, KeySkew: 0.8, Retries: 1, Patience: 1, Honour: 0.9,
+		Fleet: Fleet{Agents: 24, Backends: 24, Zones: []string{"riga-ziepniekkalns", "riga-purvciems", "marupe"}, Pod: 6},
+		Load: Load{Rate: 500, Of: 0.75, Skew: 0.8, Keys: 1200, KeySkew: 0.8, Retries: 1, Patience: 0.9, Impatient: 0.01, Honour: 0.9,
 			OverShare: 0.2},
 		World: World{SlotsPerCore: Range{2, 6}, RoomPerCore: Range{220, 600}, Thrash: Range{0.3, 0.55},
 			ThrashAt: Range{4.1, 6.8}, ColdFrom: Range{0.12, 0.35}, RampS: Range{10, 20}, FallMultiple: 3,
--- /dev/null
+++ b/internal/lab/standin_test.go
@@ -0,0 +1,171 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	product "brookferry/internal/agent"
+)
+
+// TestMain lets the test binary stand in for an agent's program: the real agent, or one that is broken in a
+// stated way.
+func TestMain(m *testing.M) {
+	switch mode := os.Getenv("LAB_TEST_AGENT"); mode {
+	case "":
+		os.Exit(m.Run())
+	case "real":
+		if err := product.Serve(slog.New(slog.NewTextHandler(os.Stderr, nil)), product.Platform(os.Getenv)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	case "lab":
+		playUntilKilled()
+	default:
+		standIn(mode)
+	}
+	os.Exit(0)
+}
+
+// standIn is an agent that sends each request to one backend, once, but for what its mode gets wrong.
+type brokenAgent struct {
+	mode string
+	mu   sync.Mutex
+	list map[string]member
+	n    int
+}
+
+func standIn(mode string) {
+	text, err := os.ReadFile(os.Getenv("PROXY_CONFIG"))
+	if err != nil {
+		panic(err)
+	}
+	var config struct {
+		Listen, Discovery string
+		Known             members
+	}
+	if err := json.Unmarshal(text, &config); err != nil {
+		panic(err)
+	}
+	a := &brokenAgent{mode: mode, list: map[string]member{}}
+	a.take(config.Known)
+	go a.watch(config.Discovery, config.Known.Version)
+	panic(http.ListenAndServe(config.Listen, a))
+}
+
+func (a *brokenAgent) take(m members) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range m.Servers {
+		if s.State == "ready" || a.mode != "ignores-lists" && s.State == "draining" {
+			a.list[s.ID] = s
+		}
+		if s.State != "ready" && a.mode != "ignores-lists" {
+			delete(a.list, s.ID)
+		}
+	}
+}
+
+func (a *brokenAgent) watch(discovery string, since int64) {
+	resp, err := http.Get(fmt.Sprintf("http://%s/catalog/members?follow=1&since=%d", discovery, since))
+	if err != nil {
+		panic(err)
+	}
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		var m members
+		if json.Unmarshal(lines.Bytes(), &m) == nil {
+			a.take(m)
+		}
+	}
+}
+
+// pick is a backend: by turns, or always the newest.
+func (a *brokenAgent) pick() (best member, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.n++
+	i := a.n
+	for _, s := range a.list { // map order serves as chance
+		if best.ID == "" || a.mode == "rushes-the-newest" && s.Started > best.Started {
+			best = s
+		}
+		if i--; i == 0 {
+			break
+		}
+	}
+	return best, a.n
+}
+
+func (a *brokenAgent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/_health" {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s, n := a.pick()
+	odd := n%5 == 0
+	send := func(to member, id string, body []byte) (int, []byte) {
+		out, err := http.NewRequest(r.Method, "http://"+to.Addr+r.URL.RequestURI(), bytes.NewReader(body))
+		if err != nil {
+			panic(err)
+		}
+		out.Header = r.Header.Clone()
+		out.Header.Set("X-Trace-Id", id)
+		resp, err := http.DefaultTransport.RoundTrip(out)
+		if err != nil {
+			return http.StatusBadGateway, nil
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body) // cut off: it fails below
+		if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Never-Ran") == "" {
+			return http.StatusBadGateway, nil
+		}
+		return resp.StatusCode, text
+	}
+	id := r.Header.Get("X-Trace-Id")
+	switch {
+	case a.mode == "hangs-up" && odd:
+		w.Header().Set("Content-Length", "1000")
+		fmt.Fprint(w, "served "+id)
+		_ = http.NewResponseController(w).Flush() // the client sees it or the end
+		panic(http.ErrAbortHandler)
+	case a.mode == "never-answers" && odd:
+		<-r.Context().Done()
+		return
+	case a.mode == "forges" && odd:
+		fmt.Fprint(w, "served "+id)
+		return
+	case a.mode == "invents" && odd:
+		send(s, "feedfacefeedface", body)
+	case a.mode == "rewrites" && odd:
+		body = append(body, '!')
+	case a.mode == "dies" && n == 20:
+		os.Exit(7)
+	case a.mode == "hoards" && n == 20:
+		hoard = bytes.Repeat([]byte{1}, 256<<20)
+	}
+	status, text := send(s, id, body)
+	switch {
+	case a.mode == "sends-twice" && odd:
+		other, _ := a.pick()
+		status, text = send(other, id, body)
+	case a.mode == "refuses-what-ran" && odd:
+		status = http.StatusServiceUnavailable
+	case a.mode == "answers-late" && odd:
+		time.Sleep(3 * time.Second)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // the client's going away shows elsewhere
+}
+
+var hoard []byte
