--- a/cmd/martenbeam/lab.go
+++ b/cmd/martenbeam/lab.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -19,9 +20,10 @@
 )
 
 type labCmd struct {
-	List  listCmd  `cmd:"" help:"List the built-in scenarios."`
-	Run   runCmd   `cmd:"" help:"Play one scenario and judge it. Exit 0 kept, 3 broken, 4 crashed, 5 void."`
-	Trace traceCmd `cmd:"" help:"Follow one request through everyone who handled it."`
+	List    listCmd    `cmd:"" help:"List the built-in scenarios."`
+	Run     runCmd     `cmd:"" help:"Play one scenario and judge it. Exit 0 kept, 3 broken, 4 crashed, 5 void."`
+	Compare compareCmd `cmd:"" help:"Play seeds with two versions of the agent, and tell the difference."`
+	Trace   traceCmd   `cmd:"" help:"Follow one request through everyone who handled it."`
 }
 
 type listCmd struct{}
@@ -68,9 +70,10 @@
 func (f *fleetFlags) agent() ([]string, error) {
 	if f.AgentBin != "" {
 		if info, err := os.Stat(f.AgentBin); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
-			return nil, fmt.Errorf("--agent-bin: %s is no program", f.AgentBin)
+			return nil, fmt.Errorf("%s is no program", f.AgentBin)
 		}
-		return []string{f.AgentBin}, nil
+		path, err := filepath.Abs(f.AgentBin)
+		return []string{path}, err
 	}
 	self, err := os.Executable()
 	return []string{self, "agent"}, err
--- /dev/null
+++ b/internal/lab/compare_test.go
@@ -0,0 +1,49 @@
+package lab
+
+import (
+	"math"
+	"testing"
+)
+
+func reports(values ...float64) (list []*Report) {
+	for _, v := range values {
+		list = append(list, &Report{Verdict: Kept, ServedInAim: v})
+	}
+	return list
+}
+
+// A difference is seen only where the seeds agree on it, and void runs don't count.
+func TestCompare(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		a, b    []float64
+		void    int
+		verdict string
+		n       int
+	}{
+		{"better at every seed", []float64{0.8, 0.7, 0.9}, []float64{0.85, 0.76, 0.94}, -1, "better", 3},
+		{"worse at every seed", []float64{0.8, 0.7, 0.9}, []float64{0.75, 0.66, 0.84}, -1, "worse", 3},
+		{"both ways", []float64{0.8, 0.7, 0.9}, []float64{0.85, 0.6, 0.91}, -1, "no difference seen", 3},
+		{"one seed", []float64{0.8}, []float64{0.9}, -1, "no difference seen", 1},
+		{"one of two is void", []float64{0.8, 0.8}, []float64{0.9, 0.1}, 1, "no difference seen", 1},
+	} {
+		var pairs []Pair
+		b := reports(c.b...)
+		for i, a := range reports(c.a...) {
+			if i == c.void {
+				b[i].Verdict = Void
+			}
+			pairs = append(pairs, Pair{A: a, B: b[i]})
+		}
+		d := Compare(pairs)[0]
+		if d.Verdict != c.verdict || len(d.Each) != c.n || !(d.Low <= d.Mean && d.Mean <= d.High) {
+			t.Errorf("%s: %+v", c.name, d)
+		}
+	}
+	if low, high := bootstrap([]float64{1}); !math.IsInf(low, -1) || !math.IsInf(high, 1) {
+		t.Error("one value bounds nothing")
+	}
+	if got := Compare([]Pair{{A: &Report{Verdict: Void}, B: &Report{}}}); got != nil {
+		t.Errorf("nothing counts, and yet %+v", got)
+	}
+}
