Configure the agent by a TOML file of its own, checked line by line

Need: outside the platform nobody could start an agent, and an error in its JSON names no line. The platform's PROXY_ form stays as it was: both are an agent.Source, read at the start and after SIGHUP. Seen: unknown key, wrong type and value out of range each end in one line with file, line and key, exit 2 (tables, fuzz).

--- a/cmd/martenbeam/agent.go
+++ b/cmd/martenbeam/agent.go
@@ -1,14 +1,74 @@
 package main
 
 import (
+	"fmt"
+	"io"
 	"log/slog"
 	"os"
 
 	"brookferry/internal/agent"
+	"brookferry/internal/config"
 )
 
-type agentCmd struct{}
+type agentCmd struct {
+	Config    string `help:"Configuration, a TOML file (see config print). Default: what the platform's PROXY_ variables say." env:"MARTENBEAM_CONFIG" placeholder:"FILE"`
+	LogLevel  string `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+	LogFormat string `help:"Form of the log: text or json." enum:"text,json" default:"text"`
+}
+
+// logger writes to w as the flags say.
+func (c *agentCmd) logger(w io.Writer) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		panic(err) // the flag takes no other word
+	}
+	o := &slog.HandlerOptions{Level: level}
+	if c.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(w, o))
+	}
+	return slog.New(slog.NewTextHandler(w, o))
+}
+
+func (c *agentCmd) Run(o *output) error {
+	source := agent.Platform(os.Getenv)
+	if c.Config != "" {
+		read := func() ([]byte, error) {
+			k, err := config.Read(c.Config)
+			if err != nil {
+				return nil, err
+			}
+			return k.Platform()
+		}
+		if _, err := read(); err != nil {
+			return usageError{err}
+		}
+		source = agent.Source{Name: c.Config, Read: read, Getenv: func(string) string { return "" }}
+	} else if os.Getenv("PROXY_CONFIG") == "" {
+		return usageError{fmt.Errorf("no configuration: name a file with --config or MARTENBEAM_CONFIG, or set PROXY_CONFIG as the platform does")}
+	}
+	return agent.Serve(c.logger(o.stderr), source)
+}
+
+type configCmd struct {
+	Check checkCmd `cmd:"" help:"Say whether a configuration can be used. Exit 0 if it can, 2 if not."`
+	Print printCmd `cmd:"" help:"Print every key with its default and what it means."`
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"A TOML file."`
+}
+
+func (c *checkCmd) Run(o *output) error {
+	if _, err := config.Read(c.File); err != nil {
+		return usageError{err}
+	}
+	fmt.Fprintln(o.stdout, c.File+": can be used")
+	return nil
+}
+
+type printCmd struct{}
 
-func (agentCmd) Run() error {
-	return agent.Serve(slog.New(slog.NewTextHandler(os.Stderr, nil)), os.Getenv)
+func (printCmd) Run(o *output) error {
+	_, err := io.WriteString(o.stdout, config.Default)
+	return err
 }
--- a/cmd/martenbeam/main.go
+++ b/cmd/martenbeam/main.go
@@ -29,9 +29,10 @@
 func (e codeError) Error() string { return fmt.Sprintf("exit code %d", int(e)) }
 
 type cli struct {
-	Up    upCmd    `cmd:"" help:"Start a whole fleet on this machine and watch it: agents, backends, discovery and clients."`
-	Lab   labCmd   `cmd:"" help:"Play scenarios with faults on a fleet of real processes, and compare versions."`
-	Agent agentCmd `cmd:"" help:"Run one agent, as the platform does."`
+	Up     upCmd     `cmd:"" help:"Start a whole fleet on this machine and watch it: agents, backends, discovery and clients."`
+	Lab    labCmd    `cmd:"" help:"Play scenarios with faults on a fleet of real processes, and compare versions."`
+	Agent  agentCmd  `cmd:"" help:"Run one agent."`
+	Config configCmd `cmd:"" help:"Check an agent's configuration, or print the defaults."`
 }
 
 const about = `A client-side load balancer and the tools to see it at work.
--- /dev/null
+++ b/cmd/martenbeam/main_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestMain lets the test binary stand in for the program: agents are started from it too.
+func TestMain(m *testing.M) {
+	if os.Getenv("MARTENBEAM_TEST") == "1" || len(os.Args) == 2 && os.Args[1] == "agent" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "test.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// What can't be done ends with one line and exit 2; help and lists with 0.
+func TestUsage(t *testing.T) {
+	bad := write(t, "for = \"-3s\"\n")
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"--help", 0, "martenbeam lab run zone-loss"},
+		{"lab run --help", 0, "--seed"},
+		{"lab list", 0, "zone-cut"},
+		{"config print", 0, "[limits]"},
+		{"storm", exitUsage, "unexpected argument storm"},
+		{"lab run storm", exitUsage, `no scenario is called "storm"`},
+		{"lab run " + bad, exitUsage, bad + ":1: for: -3s is not between"},
+		{"lab run calm --agents=-4", exitUsage, "fleet.agents: -4"},
+		{"lab run calm --agents 2000 --backends 4000", exitUsage, "descriptors"},
+		{"lab run calm --agent-bin /nowhere", exitUsage, "/nowhere is no program"},
+		{"lab compare calm --a /nowhere --seeds 5-1", exitUsage, `"5-1" is neither`},
+		{"lab trace /dev/null 12", exitUsage, "holds no request 12"},
+		{"config check " + bad, exitUsage, bad + ":1: for: unknown key"},
+		{"agent --config " + bad, exitUsage, bad + ":1: for: unknown key"},
+		{"agent --log-level loud", exitUsage, "--log-level"},
+	} {
+		var out, errs bytes.Buffer
+		code := run(strings.Fields(c.args), &out, &errs)
+		text := out.String() + errs.String()
+		if code != c.code || !strings.Contains(text, c.want) {
+			t.Errorf("%s: exit %d, want %d with %q:\n%s", c.args, code, c.code, c.want, text)
+		}
+		if code == exitUsage && strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("%s: not one line:\n%s", c.args, errs.String())
+		}
+	}
+}
+
+// up serves a request sent by hand as its curl line says, and ends cleanly on an interrupt.
+func TestUp(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, "up", "--agents", "2", "--backends", "3", "--rate", "20")
+	cmd.Env = append(os.Environ(), "MARTENBEAM_TEST=1")
+	var errs bytes.Buffer
+	cmd.Stderr = &errs
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(out)
+	url := ""
+	for url == "" && lines.Scan() {
+		if _, rest, ok := strings.Cut(lines.Text(), "http://"); ok {
+			url, _, _ = strings.Cut("http://"+rest, " ")
+		}
+	}
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("done"))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, errs.String())
+	}
+	for name, value := range map[string]string{"X-Trace-Id": "hand-1", "Idempotency-Key": "hand-1", "X-Customer": "state-post", "Cookie": "sid=stop-1"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil || resp.StatusCode != http.StatusOK || !strings.HasPrefix(string(body), "served hand-1 by s-") {
+		t.Errorf("status %d, %q, %v", resp.StatusCode, body, err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGINT); err != nil {
+		t.Fatal(err)
+	}
+	rest := ""
+	for lines.Scan() {
+		rest += lines.Text() + "\n"
+	}
+	if err := cmd.Wait(); err != nil || !strings.Contains(rest, "served in aim") {
+		t.Errorf("%v\n%s%s", err, rest, errs.String())
+	}
+}
+
+// A run's events lead through one request; its report is whole.
+func TestRunAndTrace(t *testing.T) {
+	dir := t.TempDir()
+	s := write(t, "for = \"2s\"\nsettle = \"0s\"\n[fleet]\nagents = 2\nbackends = 3\n[load]\nrate = 20\nof = 0.1\n[limits]\nlate_ms = 60000\n")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, report := filepath.Join(dir, "events"), filepath.Join(dir, "report.json")
+	cmd := exec.Command(self, "lab", "run", s, "--json", report, "--events", events, "-q")
+	cmd.Env = append(os.Environ(), "MARTENBEAM_TEST=1")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	text, err := os.ReadFile(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"schema", "scenario", "seed", "commit", "agents", "backends", "offered", "served_in_aim", "refused", "failed", "lost",
+		"attempts_per_request", "cross_zone_share", "worst_10s", "latency_ms", "rules", "crashes", "lab_late_ms", "agent", "windows"} {
+		if !strings.Contains(string(text), "\n \""+key+"\": ") {
+			t.Errorf("the report has no %s", key)
+		}
+	}
+	text, err = os.ReadFile(events)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), `"id":"`)
+	id, _, _ := strings.Cut(rest, `"`)
+	var out, errs bytes.Buffer
+	if code := run([]string{"lab", "trace", events, id}, &out, &errs); code != 0 || !strings.Contains(out.String(), "attempt 0 arrives from agent") {
+		t.Errorf("exit %d\n%s%s", code, out.String(), errs.String())
+	}
+}
--- a/cmd/vetchhaven/main.go
+++ b/cmd/vetchhaven/main.go
@@ -10,7 +10,7 @@
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := agent.Serve(log, os.Getenv); err != nil {
+	if err := agent.Serve(log, agent.Platform(os.Getenv)); err != nil {
 		log.Error("vetchhaven", "error", err)
 		os.Exit(1)
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -35,33 +35,52 @@
 	Site     wire.Site
 }
 
-// LoadConfig reads the file that PROXY_CONFIG names. The other variables, where set, go before
-// what the file says. An error names the field that is wrong.
-func LoadConfig(getenv func(string) string) (*Config, error) {
+// Source is where a configuration comes from. It is read at the start, and again after a SIGHUP.
+type Source struct {
+	Name   string
+	Read   func() ([]byte, error) // in the platform's form
+	Getenv func(string) string    // its PROXY_ variables, where set, go before what the text says
+}
+
+// Platform is the file that PROXY_CONFIG names.
+func Platform(getenv func(string) string) Source {
 	path := getenv("PROXY_CONFIG")
-	if path == "" {
-		return nil, errors.New("PROXY_CONFIG is not set")
-	}
-	raw, err := os.ReadFile(path)
+	return Source{path, func() ([]byte, error) {
+		if path == "" {
+			return nil, errors.New("PROXY_CONFIG is not set")
+		}
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			err = fmt.Errorf("PROXY_CONFIG: %w", err)
+		}
+		return raw, err
+	}, getenv}
+}
+
+// Load reads the configuration. An error names the field that is wrong.
+func (s Source) Load() (*Config, error) {
+	raw, err := s.Read()
 	if err != nil {
-		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+		return nil, err
 	}
-	c, err := parseConfig(raw, getenv)
+	c, err := parseConfig(raw, s.Getenv)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
 	}
 	return c, nil
 }
 
-// LoadDiscovery reads the file again after it has been replaced, and returns where discovery is
+// Discovery reads the configuration again after it has been replaced, and returns where discovery is
 // by now. There the file goes before the variable, which says what held when the program started.
-func LoadDiscovery(getenv func(string) string) (string, error) {
-	c, err := LoadConfig(func(name string) string {
+func (s Source) Discovery() (string, error) {
+	getenv := s.Getenv
+	s.Getenv = func(name string) string {
 		if name == "PROXY_DISCOVERY" {
 			return ""
 		}
 		return getenv(name)
-	})
+	}
+	c, err := s.Load()
 	if err != nil {
 		return "", err
 	}
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -86,11 +86,11 @@
 func TestLoadConfig(t *testing.T) {
 	env := map[string]string{}
 	getenv := func(name string) string { return env[name] }
-	if _, err := LoadConfig(getenv); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
+	if _, err := Platform(getenv).Load(); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
 		t.Errorf("no file named: %v", err)
 	}
 	env["PROXY_CONFIG"] = filepath.Join(t.TempDir(), "config.json")
-	if _, err := LoadConfig(getenv); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
+	if _, err := Platform(getenv).Load(); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
 		t.Errorf("no file: %v", err)
 	}
 	raw := fmt.Sprintf(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","settings":%s}`, fmt.Sprintf(settings, "subscribe", 1000))
@@ -98,7 +98,7 @@
 		t.Fatal(err)
 	}
 	env["PROXY_LISTEN"] = "127.0.0.1:3"
-	cfg, err := LoadConfig(getenv)
+	cfg, err := Platform(getenv).Load()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -12,15 +12,15 @@
 	"syscall"
 )
 
-// Serve runs the agent that getenv's PROXY_ variables describe until SIGTERM.
-func Serve(log *slog.Logger, getenv func(string) string) error {
+// Serve runs the agent that a source describes until SIGTERM.
+func Serve(log *slog.Logger, source Source) error {
 	// From the first moment on: unheeded it would end the program.
 	replaced := make(chan os.Signal, 1)
 	signal.Notify(replaced, syscall.SIGHUP)
 	defer signal.Stop(replaced)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	cfg, err := LoadConfig(getenv)
+	cfg, err := source.Load()
 	if err != nil {
 		return err
 	}
@@ -36,7 +36,7 @@
 	}
 	var reloading sync.WaitGroup
 	done := make(chan struct{})
-	reloading.Go(func() { reload(a, log, getenv, replaced, done) })
+	reloading.Go(func() { reload(a, log, source, replaced, done) })
 	defer reloading.Wait()
 	defer close(done)
 	return a.Run(stop)
@@ -44,14 +44,14 @@
 
 // reload takes over a replaced configuration at each SIGHUP: of what is in it, discovery's address
 // alone may change while the program runs. One that can't be read changes nothing.
-func reload(a *Agent, log *slog.Logger, getenv func(string) string, replaced <-chan os.Signal, done <-chan struct{}) {
+func reload(a *Agent, log *slog.Logger, source Source, replaced <-chan os.Signal, done <-chan struct{}) {
 	for {
 		select {
 		case <-replaced:
 		case <-done:
 			return
 		}
-		discovery, err := LoadDiscovery(getenv)
+		discovery, err := source.Discovery()
 		if err != nil {
 			log.Error("the replaced configuration is not used", "error", err)
 			continue
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,232 @@
+// Package config reads the product's own configuration of an agent: one TOML file, strict, whose defaults are a
+// file of the same form that anyone can print.
+package config
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"brookferry/internal/strict"
+)
+
+// Default is every key with its default and what it means.
+//
+//go:embed default.toml
+var Default string
+
+// Config is one agent's configuration.
+type Config struct {
+	Name      string   `toml:"name"`
+	Listen    string   `toml:"listen"`
+	Discovery string   `toml:"discovery"`
+	Mgmt      string   `toml:"mgmt"`
+	Seed      string   `toml:"seed"`
+	Zones     []string `toml:"zones"`
+	Zone      string   `toml:"zone"`
+	Kinds     []string `toml:"kinds"`
+	Limits    struct {
+		Cores    float64 `toml:"cores"`
+		MemoryMB int     `toml:"memory_mb"`
+		Sockets  int     `toml:"sockets"`
+		Open     int     `toml:"open"`
+	} `toml:"limits"`
+	Peers struct {
+		Addresses []string `toml:"addresses"`
+		Self      int      `toml:"self"`
+		Listen    string   `toml:"listen"`
+	} `toml:"peers"`
+	Attempts struct {
+		Most           int             `toml:"most"`
+		ConnectTimeout strict.Duration `toml:"connect_timeout"`
+		IdleClose      strict.Duration `toml:"idle_close"`
+		SecondCopies   bool            `toml:"second_copies"`
+		Cancel         bool            `toml:"cancel"`
+		Probes         bool            `toml:"probes"`
+		Tick           strict.Duration `toml:"tick"`
+	} `toml:"attempts"`
+	Refusals struct {
+		RetryAfter     bool            `toml:"retry_after"`
+		MostRetryAfter strict.Duration `toml:"most_retry_after"`
+		Grace          strict.Duration `toml:"grace"`
+	} `toml:"refusals"`
+	Backends struct {
+		DrainGrace   strict.Duration `toml:"drain_grace"`
+		ColdFrom     float64         `toml:"cold_from"`
+		Ramp         strict.Duration `toml:"ramp"`
+		FallMultiple float64         `toml:"fall_multiple"`
+		FallWindow   strict.Duration `toml:"fall_window"`
+		WarmKeys     bool            `toml:"warm_keys"`
+	} `toml:"backends"`
+	Prices struct {
+		CrossZone float64 `toml:"cross_zone"`
+	} `toml:"prices"`
+	Classes []Class `toml:"class"`
+
+	file, text string
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name     string          `toml:"name"`
+	Effect   string          `toml:"effect"`
+	Group    string          `toml:"group"`
+	Window   strict.Duration `toml:"window"`
+	Aim      strict.Duration `toml:"aim"`
+	Deadline strict.Duration `toml:"deadline"`
+	Worth    float64         `toml:"worth"`
+}
+
+// What the words of a class are called on the platform's wire.
+var (
+	effects = map[string]string{"safe": "repeatable", "keyed": "by_key", "once": "once"}
+	groups  = map[string]string{"": "all", "all": "all", "zone": "zone", "pod": "cell"}
+)
+
+// Read reads and checks a file.
+func Read(file string) (*Config, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, string(text))
+}
+
+// Parse checks a configuration. file names it in errors.
+func Parse(file, text string) (*Config, error) {
+	c := &Config{}
+	if err := strict.Decode("default.toml", Default, c); err != nil {
+		panic(err) // it is part of the program
+	}
+	if err := strict.Decode(file, text, c); err != nil {
+		return nil, err
+	}
+	c.file, c.text = file, text
+	return c, c.check()
+}
+
+func (c *Config) wrong(key, format string, args ...any) error {
+	return strict.At(c.file, c.text, key, format, args...)
+}
+
+func (c *Config) address(key, value string, needed bool) error {
+	if value == "" {
+		if needed {
+			return c.wrong(key, "is needed: an IP address and port, such as \"127.0.0.1:8500\"")
+		}
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return c.wrong(key, "%q is no IP address and port, such as \"127.0.0.1:8500\"", value)
+	}
+	return nil
+}
+
+func (c *Config) check() error {
+	alone := len(c.Peers.Addresses) == 0
+	for _, a := range []struct {
+		key, value string
+		needed     bool
+	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"mgmt", c.Mgmt, false}, {"peers.listen", c.Peers.Listen, !alone}} {
+		if err := c.address(a.key, a.value, a.needed); err != nil {
+			return err
+		}
+	}
+	for _, a := range c.Peers.Addresses {
+		if err := c.address("peers.addresses", a, true); err != nil {
+			return err
+		}
+	}
+	for _, r := range []struct {
+		key            string
+		value, low, up float64
+	}{
+		{"limits.cores", c.Limits.Cores, 0, 64}, {"limits.memory_mb", float64(c.Limits.MemoryMB), 0, 65536},
+		{"limits.sockets", float64(c.Limits.Sockets), 32, 1 << 20}, {"limits.open", float64(c.Limits.Open), 0, 1e6},
+		{"attempts.most", float64(c.Attempts.Most), 1, 20}, {"backends.cold_from", c.Backends.ColdFrom, 0, 1},
+		{"backends.fall_multiple", c.Backends.FallMultiple, 0, 1000}, {"prices.cross_zone", c.Prices.CrossZone, 0, 1},
+		{"peers.self", float64(c.Peers.Self), 0, max(0, float64(len(c.Peers.Addresses)-1))},
+	} {
+		if !(r.value >= r.low && r.value <= r.up) {
+			return c.wrong(r.key, "%v is not between %v and %v", r.value, r.low, r.up)
+		}
+	}
+	const longest = strict.Duration(24 * time.Hour)
+	least := strict.Duration(time.Millisecond)
+	for _, r := range []struct {
+		key            string
+		value, low, up strict.Duration
+	}{
+		{"attempts.connect_timeout", c.Attempts.ConnectTimeout, least, longest}, {"attempts.idle_close", c.Attempts.IdleClose, least, longest},
+		{"attempts.tick", c.Attempts.Tick, 0, strict.Duration(time.Second)}, {"refusals.grace", c.Refusals.Grace, 0, strict.Duration(time.Second)},
+		{"refusals.most_retry_after", c.Refusals.MostRetryAfter, 0, longest}, {"backends.drain_grace", c.Backends.DrainGrace, 0, longest},
+		{"backends.ramp", c.Backends.Ramp, 0, longest}, {"backends.fall_window", c.Backends.FallWindow, 0, longest},
+	} {
+		if r.value < r.low || r.value > r.up {
+			return c.wrong(r.key, "%v is not between %v and %v", r.value.D(), r.low.D(), r.up.D())
+		}
+	}
+	if _, err := strconv.ParseUint(c.Seed, 16, 64); c.Seed != "" && err != nil {
+		return c.wrong("seed", "%q is not a hexadecimal number of up to 16 digits", c.Seed)
+	}
+	if !slices.Contains(c.Zones, c.Zone) {
+		return c.wrong("zone", "%q is none of zones", c.Zone)
+	}
+	if len(c.Classes) == 0 {
+		return c.wrong("class", "at least one [[class]] is needed")
+	}
+	for i, k := range c.Classes {
+		key := func(name string) string { return fmt.Sprintf("class[%d].%s", i, name) }
+		switch {
+		case k.Name == "":
+			return c.wrong(key("name"), "is needed")
+		case effects[k.Effect] == "":
+			return c.wrong(key("effect"), `%q is none of "safe", "keyed", "once"`, k.Effect)
+		case groups[k.Group] == "":
+			return c.wrong(key("group"), `%q is none of "all", "zone", "pod"`, k.Group)
+		case k.Effect == "keyed" && k.Window <= 0:
+			return c.wrong(key("window"), "a keyed class needs the time for which repeats are dropped")
+		case k.Aim <= 0 || k.Deadline < k.Aim || k.Deadline > longest:
+			return c.wrong(key("deadline"), "aim %v and deadline %v: both above 0, the aim no later", k.Aim.D(), k.Deadline.D())
+		case !(k.Worth >= 0):
+			return c.wrong(key("worth"), "%v is negative", k.Worth)
+		}
+	}
+	return nil
+}
+
+// Platform is the same configuration in the platform's form.
+func (c *Config) Platform() ([]byte, error) {
+	ms := func(d strict.Duration) float64 { return d.D().Seconds() * 1e3 }
+	var profiles []map[string]any
+	for _, k := range c.Classes {
+		profiles = append(profiles, map[string]any{"Name": k.Name, "AimMs": ms(k.Aim), "DeadlineMs": ms(k.Deadline), "Worth": k.Worth,
+			"Semantics": effects[k.Effect], "Group": groups[k.Group], "WindowMs": ms(k.Window)})
+	}
+	seed := c.Seed
+	if seed == "" {
+		seed = fmt.Sprintf("%016x", rand.Uint64())
+	}
+	return json.Marshal(map[string]any{
+		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "mgmt": c.Mgmt, "seed": seed,
+		"limits":      map[string]any{"cores": c.Limits.Cores, "memory_mb": c.Limits.MemoryMB, "sockets": c.Limits.Sockets},
+		"peer_listen": c.Peers.Listen, "peers": c.Peers.Addresses,
+		"settings": map[string]any{
+			"Balancers": max(1, len(c.Peers.Addresses)), "Me": c.Peers.Self, "Zone": slices.Index(c.Zones, c.Zone), "Dcs": c.Zones, "Kinds": c.Kinds,
+			"CountedBy": "request", "MembershipMode": "automatic", "TickMs": ms(c.Attempts.Tick), "Profiles": profiles,
+			"PolicyLimits": map[string]any{"TryLimit": c.Attempts.Most, "SecondCopies": c.Attempts.SecondCopies, "MayProbe": c.Attempts.Probes,
+				"Cancel": c.Attempts.Cancel, "RetryAfter": c.Refusals.RetryAfter, "Peers": len(c.Peers.Addresses) > 1,
+				"MaxRetryAfterMs": ms(c.Refusals.MostRetryAfter), "ConnectTimeoutMs": ms(c.Attempts.ConnectTimeout),
+				"IdleCloseMs": ms(c.Attempts.IdleClose), "MaxOpen": c.Limits.Open},
+			"Contract": map[string]any{"DrainGraceMs": ms(c.Backends.DrainGrace), "GraceToAnswerMs": ms(c.Refusals.Grace), "ColdFrom": c.Backends.ColdFrom,
+				"RampTimeMs": ms(c.Backends.Ramp), "FallMultiple": c.Backends.FallMultiple, "FallMs": ms(c.Backends.FallWindow)},
+			"FamilyInfo": map[string]any{"WarmKeys": c.Backends.WarmKeys}, "Prices": map[string]any{"CrossZone": c.Prices.CrossZone},
+			"Goal": map[string]any{"Whole": 1}, "Report": map[string]any{"Source": "off"},
+		}})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"brookferry/internal/agent"
+)
+
+const class = `
+[[class]]
+name = "get"
+effect = "safe"
+aim = "1s"
+deadline = "2s"
+`
+
+const good = "discovery = \"127.0.0.1:8500\"\n"
+
+// What is wrong is told in one line that names file, line and key.
+func TestErrors(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{class, "x.toml: discovery: is needed"},
+		{good, "x.toml: class: at least one [[class]]"},
+		{good + "lsiten = \"127.0.0.1:1\"" + class, "x.toml:2: lsiten: unknown key"},
+		{good + "listen = 3" + class, "x.toml:2: listen: incompatible types"},
+		{good + "listen = \"localhost:1\"" + class, `x.toml:2: listen: "localhost:1" is no IP address and port`},
+		{good + "seed = \"xyz\"" + class, "x.toml:2: seed: "},
+		{good + "zone = \"b\"" + class, `x.toml:2: zone: "b" is none of zones`},
+		{good + "[limits]\nsockets = 3" + class, "x.toml:3: limits.sockets: 3 is not between 32 and 1.048576e+06"},
+		{good + "[attempts]\nconnect_timeout = \"soon\"" + class, "x.toml:3: "},
+		{good + "[attempts]\nconnect_timeout = \"0s\"" + class, "x.toml:3: attempts.connect_timeout: 0s is not between 1ms and 24h"},
+		{good + "[peers]\naddresses = [\"127.0.0.1:1\"]" + class, "x.toml: peers.listen: is needed"},
+		{good + class + "effect2 = 1", "x.toml:8: class.effect2: unknown key"},
+		{good + strings.Replace(class, "safe", "keyed", 1), "x.toml: class[0].window: a keyed class needs"},
+		{good + strings.Replace(class, "2s", "1ms", 1), "x.toml:7: class[0].deadline: aim 1s and deadline 1ms"},
+		{good + "name = \"a\nb\"" + class, "x.toml:2: "},
+	} {
+		_, err := Parse("x.toml", c.text)
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// What is taken is taken by the agent too.
+func TestAgentTakesIt(t *testing.T) {
+	c, err := Parse("x.toml", good+class+"[peers]\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\nself = 1\nlisten = \"127.0.0.1:3\"\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := agent.Source{Name: "x.toml", Read: c.Platform, Getenv: func(string) string { return "" }}
+	a, err := source.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Settings.Self != 1 || a.Settings.Balancers != 2 || len(a.Settings.Classes) != 1 || a.Settings.MaxAttempts != 5 || a.MemoryMB != 128 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Every key stands in the defaults, with a comment.
+func TestDefaultsAreWhole(t *testing.T) {
+	var keys func(reflect.Type) []string
+	keys = func(typ reflect.Type) (list []string) {
+		for i := range typ.NumField() {
+			f := typ.Field(i)
+			if f.Type.Kind() == reflect.Struct {
+				list = append(list, "["+f.Tag.Get("toml")+"]")
+				list = append(list, keys(f.Type)...)
+			} else if f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct {
+				for _, k := range keys(f.Type.Elem()) {
+					list = append(list, "# "+k)
+				}
+			} else if name := f.Tag.Get("toml"); name != "" {
+				list = append(list, name+" =")
+			}
+		}
+		return list
+	}
+	lines := strings.Split(Default, "\n")
+	for _, k := range keys(reflect.TypeFor[Config]()) {
+		i := slices.IndexFunc(lines, func(l string) bool { return strings.HasPrefix(l, k) })
+		if i < 0 {
+			t.Errorf("no line begins with %q", k)
+		} else if commented := fmt.Sprint(lines[max(0, i-8) : i+1]); !strings.Contains(commented, "#") && !strings.HasPrefix(k, "[") {
+			t.Errorf("%q has no comment", k)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good + class)
+	f.Add(Default)
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Parse("x.toml", text)
+		if err != nil {
+			return
+		}
+		if _, err := c.Platform(); err != nil {
+			t.Errorf("taken, and yet: %v", err)
+		}
+	})
+}
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -40,6 +40,9 @@
 	case err != nil: // a value of the wrong type: the library names the key in its text
 		msg := strings.TrimPrefix(err.Error(), "toml: ")
 		key := quoted(msg)
+		if _, rest, led := strings.Cut(msg, "): "); led && strings.HasPrefix(msg, "line ") { // it leads with the place
+			msg = rest
+		}
 		return &Error{file, Line(text, key), key, msg}
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
