--- /dev/null
+++ b/internal/agent/logs_test.go
@@ -0,0 +1,87 @@
+package agent
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Every attribute of a log line stands in docs/logs.md, and every one there is in use.
+func TestLogAttributes(t *testing.T) {
+	page, err := os.ReadFile("../../docs/logs.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used := map[string]bool{"agent": true} // given to the logger itself
+	files, err := filepath.Glob("*.go")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			sel, ok := call.Fun.(*ast.SelectorExpr)
+			if !ok || !slices.Contains([]string{"Debug", "Info", "Warn", "Error"}, sel.Sel.Name) || !isLog(sel.X) {
+				return true
+			}
+			for i := 1; i < len(call.Args); i += 2 {
+				if lit, ok := call.Args[i].(*ast.BasicLit); ok {
+					key, err := strconv.Unquote(lit.Value)
+					if err != nil {
+						t.Fatal(err)
+					}
+					used[key] = true
+				}
+			}
+			return true
+		})
+	}
+	listed := map[string]bool{}
+	for line := range strings.Lines(string(page)) {
+		if cell, _, ok := strings.Cut(strings.TrimPrefix(line, "| "), " |"); ok && strings.HasPrefix(cell, "`") {
+			for name := range strings.SplitSeq(cell, ", ") {
+				listed[strings.Trim(name, "`")] = true
+			}
+		}
+	}
+	for key := range used {
+		if !listed[key] {
+			t.Errorf("%q is logged and not listed", key)
+		}
+	}
+	for key := range listed {
+		if !used[key] {
+			t.Errorf("%q is listed and never logged", key)
+		}
+	}
+	if len(used) < 20 {
+		t.Errorf("only %d attributes found: is the search right?", len(used))
+	}
+}
+
+// isLog reports whether an expression is a logger: one is called log everywhere.
+func isLog(x ast.Expr) bool {
+	switch x := x.(type) {
+	case *ast.Ident:
+		return x.Name == "log"
+	case *ast.SelectorExpr:
+		return x.Sel.Name == "log"
+	}
+	return false
+}
