--- a/message.go
+++ b/message.go
@@ -81,3 +81,26 @@
 	h = (h ^ h>>13) * 0xc2b2ae35
 	return (h ^ h>>16) >> 8
 }
+
+// write keeps a note for peers. Departure: a thin agent meets each backend too seldom to know
+// its speed or its death by itself. Where agents may exchange messages it passes on what it saw
+// and what it was told, for a few aims: one message to one of them for every few outcomes.
+func (b *Balancer) write(n note) {
+	if t := b.byKey[n.key]; t != nil {
+		t.notedAt = n.at
+	}
+	b.notes = append(b.notes[max(0, len(b.notes)+1-notesKept):], n)
+}
+
+func (b *Balancer) message(notes []note, step int) {
+	data := b.told(notes).encode(b.now, b.period)
+	b.actions = append(b.actions, TellPeer{To: (b.s.Self + step) % b.s.Balancers, Data: data})
+}
+
+// told is what peers are told.
+func (b *Balancer) told(notes []note) tidings {
+	if b.calls.moved > 0 {
+		return tidings{demand: b.calls.moved, delay: b.delay, notes: notes, away: true}
+	}
+	return tidings{demand: b.asked(), delay: b.delay, notes: notes}
+}
--- a/operations.go
+++ b/operations.go
@@ -43,47 +43,6 @@
 	}
 }
 
-// ---- Large bodies and answers ----
-
-// enter books an attempt at its backend. With a body that is still coming it holds no place: the
-// backend has nothing to do yet, and no time runs.
-func (b *Balancer) enter(r *request, a *attempt) {
-	a.large = r.coming
-	if !r.coming {
-		a.at = true
-		a.b.out = append(a.b.out, a)
-		b.inFlight++
-	}
-}
-
-// leave ends that: with the outcome, or once a large answer has begun. What is left to do then is the
-// network's.
-func (b *Balancer) leave(a *attempt) {
-	if a.at {
-		a.at = false
-		a.b.out = without(a.b.out, a)
-		b.inFlight--
-	}
-}
-
-func (b *Balancer) onBodyWhole(e BodyWhole) {
-	r := b.requests[e.Request]
-	if r == nil || !r.coming {
-		return
-	}
-	r.coming = false
-	c := &b.classes[r.class]
-	left := r.deadline - r.came
-	r.came, r.deadline, r.aim = b.now, b.now+left, b.now+min(c.Aim, left)
-	for _, a := range r.attempts {
-		if a.open && !a.at {
-			a.sent, a.at = b.now, true
-			a.b.out = append(a.b.out, a)
-			b.inFlight++
-		}
-	}
-}
-
 // onStream takes that an answer has begun: no other attempt may answer, and this one waits for nothing.
 func (b *Balancer) onStream(e StreamStarted) {
 	r := b.requests[e.Request]
@@ -98,8 +57,6 @@
 	}
 }
 
-// ---- Backends out of use ----
-
 // has reports whether a call may name this id.
 func (b *Balancer) has(id string) bool {
 	_, out := b.calls.detached[id]
@@ -184,38 +141,6 @@
 	return heeded
 }
 
-// choose picks a backend for a request. Departure: a backend that was called back goes before idle
-// ones until it has answered: spread thin, an agent would pass by a cold one for longer than operators
-// wait. Its cold budget holds all the same.
-func (b *Balancer) choose(r *request) *backend {
-	if len(b.calls.returned) > 0 {
-		for _, t := range b.backends {
-			at, back := b.calls.returned[t.ID]
-			if back && b.now-at < backTries && !t.seen && t.State == Up && t != r.failed && len(t.out) == 0 &&
-				b.now >= t.fullTill && b.mayRepeat(r, t) && b.healthy(t, r) && b.coldRoom(t, r) {
-				return t
-			}
-		}
-	}
-	return b.pick(r)
-}
-
-// coldRate is how many mean requests a cold backend may be sent for each unit of time. They are counted,
-// not timed: with a queue anywhere each takes longer, which tells nothing of this backend.
-func (b *Balancer) coldRate(t *backend) float64 {
-	share := max(b.warmth(t), b.sure(t)*math.Sqrt(max(1, b.s.FallMultiple)))
-	return share * max(b.best.sum(b.now), 1/b.classes[0].latency/float64(b.s.Balancers))
-}
-
-// remember keeps the most requests that a backend served lately, in the mean, for each unit of time.
-// While few are warm, or slow, and much is refused, what is served tells little of what one can do.
-func (b *Balancer) remember() {
-	served := b.done.sum(b.now) / float64(b.s.FallWindow+1) / float64(max(b.up, 1))
-	b.best.total = max(served, b.best.sum(b.now))
-}
-
-// ---- Emptying an agent ----
-
 // onEmptying tells peers at once. Departure: what agents learn of each other's demand follows it by
 // seconds, in which the one that the clients go to refuses them by its old share of the limit, and the
 // one that they come back to does again.
@@ -234,76 +159,6 @@
 	}
 }
 
-// told is what peers are told.
-func (b *Balancer) told(notes []note) tidings {
-	if b.calls.moved > 0 {
-		return tidings{demand: b.calls.moved, delay: b.delay, notes: notes, away: true}
-	}
-	return tidings{demand: b.asked(), delay: b.delay, notes: notes}
-}
-
-// hear takes a peer's demand. One whose clients are sent elsewhere hands its demand to the others, to
-// each an even part, and takes it back when they return; what really comes soon counts for more.
-func (b *Balancer) hear(p *peer, m tidings) {
-	p.until = b.now + time.Duration(tellMissed*float64(b.period))
-	moved := 0.0
-	switch {
-	case m.away && p.moved == 0:
-		moved = max(m.demand, 1)
-		p.demand, p.moved = 0, moved
-	case !m.away:
-		moved = -p.moved
-		p.demand, p.moved = m.demand, 0
-	}
-	if moved == 0 {
-		return
-	}
-	others := []*peer{}
-	for i := range b.peers {
-		if q := &b.peers[i]; q != p && i != b.s.Self && b.now < q.until && q.moved == 0 {
-			others = append(others, q)
-		}
-	}
-	part := moved / float64(len(others)+1)
-	for _, q := range others {
-		q.demand = max(0, q.demand+part)
-	}
-	b.demand.total = max(0, b.demand.sum(b.now)+part)
-	b.reckon()
-}
-
-// ---- Handing on ----
-
-// Legacy is what a process of an agent hands on to the next: the two are one agent to the rules, and to
-// its peers.
-type Legacy struct {
-	Tokens  float64   `json:"tokens"` // in the retry bucket
-	PerBack float64   `json:"per_back"`
-	Delay   float64   `json:"delay"`
-	Best    float64   `json:"best"`    // requests that a backend served lately, for each ns
-	Asked   float64   `json:"asked"`   // by clients here
-	Moved   float64   `json:"moved"`   // by those sent elsewhere
-	Peers   []float64 `json:"peers"`   // and elsewhere, by agent number; below 0: not known
-	Latency []float64 `json:"latency"` // by class
-}
-
-// Legacy returns what the next process starts from.
-func (b *Balancer) Legacy() Legacy {
-	l := Legacy{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now),
-		Asked: b.asked(), Moved: b.calls.moved}
-	for _, p := range b.peers {
-		demand := -1.0
-		if b.now < p.until {
-			demand = p.demand
-		}
-		l.Peers = append(l.Peers, demand)
-	}
-	for _, c := range b.classes {
-		l.Latency = append(l.Latency, c.latency)
-	}
-	return l
-}
-
 // onInherit goes on from where the process before was. Its file may hold anything.
 func (b *Balancer) onInherit(e Inherit) {
 	sane := func(x, low, high float64) bool { return x >= low && x <= high }
--- /dev/null
+++ b/picking.go
@@ -0,0 +1,114 @@
+package brookferry
+
+// Which backend a request goes to: idle ones first, the nearest and fastest among them, never the one
+// that just failed it.
+
+import (
+	"cmp"
+	"math"
+)
+
+const (
+	meetAgain   = 4.0  // longest aims within which an agent means to meet a backend again
+	widthLeast  = 3    // idle backends at least among which a choice is made
+	crossBias   = 0.25 // chance of an idle backend in another zone, if crossing is priced
+	strikesBias = 0.1  // chance of an idle backend that has not healed yet
+)
+
+// pick chooses a backend: one where this balancer has nothing in flight, at
+// random; else the one with the fewest in flight; never the one that just failed
+// unless it is the only one. nil means that none may be used now.
+func (b *Balancer) pick(r *request) *backend {
+	notes, calm := b.notesOn(), b.now-b.cutAt > b.s.RampTime
+	var idle, few, last *backend
+	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
+	wide := b.width()
+	for _, t := range b.backends {
+		if wide <= 0 {
+			break
+		}
+		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
+			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share) || !b.coldRoom(t, r) {
+			continue
+		}
+		if !b.healthy(t, r) {
+			if m := t.strikes*b.rng.Float64() + float64(len(t.out)); m < mild {
+				last, mild = t, m
+			}
+			continue
+		}
+		load := float64(len(t.out))
+		if !t.seen {
+			load = max(load, float64(b.inFlight)/float64(b.up)) // a new one counts at the mean: no rush
+		}
+		slow := b.slowness(t) * *b.fit(t, r.class)
+		if load < 1 {
+			// Departure: an even choice among idle backends would load slow ones as much as fast
+			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
+			w := 1 / (slow * slow * slow)
+			// Departure: spread over all, a key is new to most backends it meets. Among idle ones the few
+			// nearest to it, the same at every agent, serve it for less work.
+			if d := t.distance(r.key); b.s.WarmKeys && r.key != 0 {
+				w /= d * d
+			}
+			if notes {
+				w *= slow * slow // all know the same: the cube would send all to the same few
+			}
+			if t.strikes > 0 && notes {
+				w *= strikesBias // all agents together must not try it at once
+			}
+			if calm { // where it is crowded a cold one's budget keeps it to its part
+				w *= b.sure(t)
+				if t.Zone != b.s.Zone && b.s.CrossZonePrice > 0 {
+					w *= crossBias
+				}
+			}
+			wide--
+			if total += w; b.rng.Float64()*total < w {
+				idle = t
+			}
+			continue
+		}
+		// Departure: in-flight counts are weighed by slowness for the same reason.
+		if score := (load + 1) * slow / b.warmth(t) * (1 + 0.01*b.rng.Float64()); score < least {
+			few, least = t, score
+		}
+	}
+	return cmp.Or(idle, few, last) // all are ejected: a first attempt still goes out
+}
+
+// choose picks a backend for a request. Departure: a backend that was called back goes before idle
+// ones until it has answered: spread thin, an agent would pass by a cold one for longer than operators
+// wait. Its cold budget holds all the same.
+func (b *Balancer) choose(r *request) *backend {
+	if len(b.calls.returned) > 0 {
+		for _, t := range b.backends {
+			at, back := b.calls.returned[t.ID]
+			if back && b.now-at < backTries && !t.seen && t.State == Up && t != r.failed && len(t.out) == 0 &&
+				b.now >= t.fullTill && b.mayRepeat(r, t) && b.healthy(t, r) && b.coldRoom(t, r) {
+				return t
+			}
+		}
+	}
+	return b.pick(r)
+}
+
+// width is how many idle backends a choice is made among: the first of this agent's own order
+// that may be used. Departure: an agent with little traffic, spread over all, would hear of each
+// backend once a day and open a connection for nearly every attempt. It keeps to so many that it
+// meets each again within a few aims. Acts where no notes tell of the others.
+func (b *Balancer) width() int {
+	if b.gap == 0 || b.notesOn() { // notes tell of all
+		return len(b.backends)
+	}
+	return max(widthLeast, int(meetAgain*float64(b.period)/b.gap))
+}
+
+// slowness is how much longer this backend takes than the mean, by its answers or
+// by the wait of its oldest attempt if that is worse (a stall shows before any answer).
+func (b *Balancer) slowness(t *backend) float64 {
+	if len(t.out) > 0 {
+		return max(t.slow, float64(b.now-t.out[0].sent)/t.out[0].cost/2)
+	}
+	return t.slow
+}
--- a/state.go
+++ b/state.go
@@ -1,7 +1,9 @@
 package brookferry
 
 import (
+	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -164,3 +166,193 @@
 	}
 	return mean + smooth*(sample-mean)
 }
+
+// Balancer decides for one agent. See the package comment for its use.
+type Balancer struct {
+	s       Settings
+	rng     *rand.Rand
+	now     time.Duration
+	actions []Action
+
+	backends []*backend // in the order in which they were first listed
+	byID     map[string]*backend
+	requests map[string]*request
+	held     []*request // waiting for room, oldest first
+	timers   map[int64]*request
+	watched  map[int64]*attempt // by the token of the timer that finds them overdue
+	token    int64              // last timer token given out
+
+	tokens   float64 // the retry bucket
+	classes  []classState
+	inFlight int
+	stuck    int     // of these, on backends that are not counted in capacity
+	perBack  float64 // attempts that all agents may have in flight together, per backend that is up
+	share    float64 // this agent's part of them
+	up       int     // backends that the list says are up
+	capacity float64 // their number, each counted by its warmth
+	delay    float64 // running mean of latency over aim
+	ramp     float64 // the part of the stated time that backends seem to need to get warm
+
+	done, best  decaying // requests served over about one fall window, that of a cold backend over its warmth
+	cutAt, born time.Duration
+	askFails    int
+	askToken    int64
+
+	demand    decaying      // work that clients asked for in first tries
+	peers     []peer        // by number
+	period    time.Duration // between two tells: the longest aim
+	tellToken int64
+	credit    float64 // work that a thin agent may send
+
+	notes    []note // what was lately seen of backends, here and by peers; newest last
+	byKey    map[uint32]*backend
+	outcomes int
+	fits     [][]float64 // by class and kind
+
+	gap    float64 // mean time between requests, ns
+	lastAt time.Duration
+	calls  calls // of operators, that hold
+}
+
+// New returns a balancer with no state. All its random choices come from seed.
+func New(s Settings, seed uint64) (*Balancer, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
+		perBack: startPerBack, ramp: 1, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
+		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, requests: map[string]*request{},
+		timers: map[int64]*request{}, watched: map[int64]*attempt{}, fits: make([][]float64, len(s.Classes))}
+	b.s.MaxAttempts = max(1, s.MaxAttempts)
+	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
+	b.done.span, b.best.span = float64(s.FallWindow+1), float64(s.RampTime+1)
+	for _, c := range s.Classes {
+		b.period = max(b.period, c.Aim)
+		b.demand.span = tellMissed * float64(b.period)
+		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4})
+	}
+	return b, nil
+}
+
+func (b *Balancer) timer(r *request, at time.Duration) {
+	r.timer = b.alarm(at - b.now)
+	b.timers[r.timer] = r
+}
+
+func (b *Balancer) alarm(wait time.Duration) int64 {
+	b.token++
+	b.actions = append(b.actions, SetTimer{After: wait, Token: b.token})
+	return b.token
+}
+
+// hold lets a request wait for room; one that finds some leaves in the same step.
+func (b *Balancer) hold(r *request) {
+	r.holding = true
+	b.held = append(b.held, r)
+}
+
+func (b *Balancer) unhold(r *request) {
+	r.holding = false
+	b.held = without(b.held, r)
+}
+
+// expected is the mean latency for a request of this class and told work.
+func (b *Balancer) expected(r *request) float64 {
+	c := &b.classes[r.class]
+	if r.work > 0 && c.work > 0 {
+		return c.latency * r.work / c.work
+	}
+	return c.latency
+}
+
+// learnSpeed takes one latency, as a multiple of the expected, into a backend's slowness.
+// The first few weigh more, since a quiet agent sees an answer of each only now and then.
+func (b *Balancer) learnSpeed(t *backend, sample float64) {
+	t.samples++
+	t.slow += max(smooth, 1/(t.samples+priorSamples)) * (min(sample, slowBound) - t.slow)
+}
+
+// fit is how much slower than the mean backends of this kind serve a class. Departure: a quiet
+// agent pools what it learns, since it has few answers for each backend, class by class.
+func (b *Balancer) fit(t *backend, class int) *float64 {
+	for len(b.fits[class]) <= t.Kind {
+		b.fits[class] = append(b.fits[class], 1)
+	}
+	return &b.fits[class][max(t.Kind, 0)]
+}
+
+// remember keeps the most requests that a backend served lately, in the mean, for each unit of time.
+// While few are warm, or slow, and much is refused, what is served tells little of what one can do.
+func (b *Balancer) remember() {
+	served := b.done.sum(b.now) / float64(b.s.FallWindow+1) / float64(max(b.up, 1))
+	b.best.total = max(served, b.best.sum(b.now))
+}
+
+// enter books an attempt at its backend. With a body that is still coming it holds no place: the
+// backend has nothing to do yet, and no time runs.
+func (b *Balancer) enter(r *request, a *attempt) {
+	a.large = r.coming
+	if !r.coming {
+		a.at = true
+		a.b.out = append(a.b.out, a)
+		b.inFlight++
+	}
+}
+
+// leave ends that: with the outcome, or once a large answer has begun. What is left to do then is the
+// network's.
+func (b *Balancer) leave(a *attempt) {
+	if a.at {
+		a.at = false
+		a.b.out = without(a.b.out, a)
+		b.inFlight--
+	}
+}
+
+func (b *Balancer) onBodyWhole(e BodyWhole) {
+	r := b.requests[e.Request]
+	if r == nil || !r.coming {
+		return
+	}
+	r.coming = false
+	c := &b.classes[r.class]
+	left := r.deadline - r.came
+	r.came, r.deadline, r.aim = b.now, b.now+left, b.now+min(c.Aim, left)
+	for _, a := range r.attempts {
+		if a.open && !a.at {
+			a.sent, a.at = b.now, true
+			a.b.out = append(a.b.out, a)
+			b.inFlight++
+		}
+	}
+}
+
+// Legacy is what a process of an agent hands on to the next: the two are one agent to the rules, and to
+// its peers.
+type Legacy struct {
+	Tokens  float64   `json:"tokens"` // in the retry bucket
+	PerBack float64   `json:"per_back"`
+	Delay   float64   `json:"delay"`
+	Best    float64   `json:"best"`    // requests that a backend served lately, for each ns
+	Asked   float64   `json:"asked"`   // by clients here
+	Moved   float64   `json:"moved"`   // by those sent elsewhere
+	Peers   []float64 `json:"peers"`   // and elsewhere, by agent number; below 0: not known
+	Latency []float64 `json:"latency"` // by class
+}
+
+// Legacy returns what the next process starts from.
+func (b *Balancer) Legacy() Legacy {
+	l := Legacy{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now),
+		Asked: b.asked(), Moved: b.calls.moved}
+	for _, p := range b.peers {
+		demand := -1.0
+		if b.now < p.until {
+			demand = p.demand
+		}
+		l.Peers = append(l.Peers, demand)
+	}
+	for _, c := range b.classes {
+		l.Latency = append(l.Latency, c.latency)
+	}
+	return l
+}
