Answer a probe in the lab once, and never wait under its lock

Change: a probe's work has a number of its own; a second answer is a fault of the lab, told, and nothing waits.

--- a/internal/lab/backends.go
+++ b/internal/lab/backends.go
@@ -218,7 +218,8 @@
 	case probe:
 		l.at(now+d, func(now time.Duration) {
 			load := h.m.Report()
-			l.ended(h, h.m.Arrive(now, world.Job{Attempt: a.number, Work: h.m.ProbeWork, Agent: a.agent, Draw: 1}))
+			l.attempt++ // its work has a number of its own: the answer doesn't wait for it
+			l.ended(h, h.m.Arrive(now, world.Job{Attempt: l.attempt, Work: h.m.ProbeWork, Agent: a.agent, Draw: 1}))
 			l.answer(now, a, answer{status: http.StatusOK, body: fmt.Sprintf("TEXT inflight=%d, util=%.3f, latency_ms=%.3f",
 				load.Inflight, load.Util, load.Service.Seconds()*1e3)}, "probed")
 		})
@@ -296,7 +297,13 @@
 	delete(l.attempts, a.number)
 	d := l.net.Way(h.party(), a.party(), link.TCP, a.id+"/"+h.m.ID)[0]
 	l.check.Reply(now, a.id, h.m.ID, what, ans.never)
-	l.at(now+d, func(time.Duration) { a.reply <- ans })
+	l.at(now+d, func(time.Duration) {
+		select {
+		case a.reply <- ans:
+		default: // under the lab's lock nothing may wait
+			l.fail(fmt.Errorf("the lab answered attempt %d of %s twice", a.number, a.id))
+		}
+	})
 }
 
 // park keeps a message until its way may be free again. The lock is held.
