Leave a zone that falls silent as a whole, and come back to it by probes and a ramp

Cause: silence was learned backend by backend, each by an attempt that is out for as long as its client waits. A left zone gets no first attempts and counts no capacity; two answered probes bring it back, by a part that grows; each further round is slower.

--- a/brookferry.go
+++ b/brookferry.go
@@ -42,6 +42,8 @@
 			b.measure()
 		case PeerMessage:
 			b.onPeer(e)
+		case ProbeResult:
+			b.onProbe(e)
 		case Abandoned:
 			if r := b.requests[e.Request]; r != nil {
 				b.close(r)
@@ -142,6 +144,8 @@
 		b.tell()
 	case a != nil:
 		b.overdue(a)
+	case b.zoneOf(token) != nil:
+		b.probeZone(b.zoneOf(token))
 	case r != nil && !r.ended && token == r.timer:
 		r.timer = 0 // a held one may be due later by now: it must get another, or it is lost
 		if r.waiting {
@@ -216,7 +220,9 @@
 	}
 	b.enter(r, a)
 	b.credit -= a.cost
-	if b.thin() {
+	z := b.zone(t)
+	z.canary = false
+	if b.thin() || len(b.zones) > 1 {
 		aim := float64(b.classes[r.class].Aim)
 		b.watched[b.alarm(time.Duration(min(aim, max(overdueAt*aim, overdueCost*a.cost))))] = a
 	}
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -858,6 +858,9 @@
 // what a warm one serves, and stays well below the stated multiple of it.
 func TestColdShareUnderOverload(t *testing.T) {
 	list := backends(5)
+	for i := range list {
+		list[i].Zone = 0 // answers here come one at a time: a zone of two would be silent for long, and left
+	}
 	r := newRig(t, settings(), 9, list)
 	var out []string
 	counts := map[string]float64{}
--- a/health.go
+++ b/health.go
@@ -24,6 +24,17 @@
 func (b *Balancer) observe(r *request, a *attempt, e Outcome) {
 	t, c, lat := a.b, &b.classes[r.class], float64(e.Latency)
 	switch e.Result {
+	case TimedOut, ConnectFailed:
+		if e.Result == TimedOut || e.Latency >= b.s.ConnectTimeout { // one that is refused was heard
+			b.mute(a, e.Result)
+		}
+		if b.zone(t).left {
+			return // the zone's silence, not this backend's
+		}
+	case OK, Full, Errored, Reset:
+		b.heard(t)
+	}
+	switch e.Result {
 	case OK:
 		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
 			b.start(t, b.now)
@@ -102,7 +113,10 @@
 // overdue counts an attempt that is out for most of its aim as late now. Departure: a thin agent
 // has few answers, and those of a crowded fleet come after its clients' patience: too late to act.
 func (b *Balancer) overdue(a *attempt) {
-	if a.open && !a.large {
+	if !a.open || a.large {
+		return
+	}
+	if b.mute(a, TimedOut); b.thin() && !b.zone(a.b).left {
 		a.late = true
 		a.b.silent++
 		b.learnSpeed(a.b, lateSlow)
--- a/operations.go
+++ b/operations.go
@@ -4,7 +4,6 @@
 // comes back.
 
 import (
-	"math"
 	"time"
 )
 
@@ -158,31 +157,3 @@
 		b.tell()
 	}
 }
-
-// onInherit goes on from where the process before was. Its file may hold anything.
-func (b *Balancer) onInherit(e Inherit) {
-	sane := func(x, low, high float64) bool { return x >= low && x <= high }
-	if sane(e.Tokens, 0, bucketCap) {
-		b.tokens = e.Tokens
-	}
-	if len(e.Latency) != len(b.classes) || len(e.Peers) != len(b.peers) ||
-		!sane(e.PerBack, floorPerBack, math.MaxInt32) || !sane(e.Delay, 0, 2) || !sane(e.Best, 0, 1) ||
-		!sane(e.Moved, 0, math.MaxInt64) || !sane(e.Asked, 0, math.MaxInt64) {
-		return // of another configuration, or of none
-	}
-	b.perBack, b.delay = e.PerBack, e.Delay
-	b.best.add(b.now, e.Best)
-	b.demand.add(b.now, max(e.Asked, e.Moved))      // Emptying follows where they are still elsewhere
-	b.born = b.now - time.Duration(4*b.demand.span) // as one that has run for long reckons
-	for i, demand := range e.Peers {
-		if demand >= 0 && i != b.s.Self {
-			b.peers[i] = peer{demand: demand, until: b.now + time.Duration(tellMissed*float64(b.period))}
-		}
-	}
-	for i, latency := range e.Latency {
-		if aim := float64(b.classes[i].Aim); sane(latency, 1, aim) {
-			b.classes[i].latency = latency
-		}
-	}
-	b.reckon()
-}
--- a/picking.go
+++ b/picking.go
@@ -22,11 +22,14 @@
 	notes, calm := b.notesOn(), b.now-b.cutAt > b.s.RampTime
 	var idle, few, last *backend
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
-	wide := b.width()
+	wide, closed := b.width(), b.closed(r)
 	for _, t := range b.backends {
 		if wide <= 0 {
 			break
 		}
+		if closed != nil && closed[max(t.Zone, 0)] {
+			continue
+		}
 		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
 			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share) || !b.coldRoom(t, r) {
 			continue
--- a/retries.go
+++ b/retries.go
@@ -25,7 +25,9 @@
 	}
 	unit := backoffUnit * float64(b.classes[r.class].Aim)
 	at := b.now + time.Duration(b.rng.Float64()*min(math.Exp2(float64(r.retries)), backoffCeiling)*unit)
-	possible := func(t *backend) bool { return t.State == Up && b.mayRepeat(r, t) }
+	possible := func(t *backend) bool {
+		return t.State == Up && b.mayRepeat(r, t) && (r.risky == 0 || !b.zone(t).left)
+	}
 	if !slices.ContainsFunc(b.backends, possible) || b.tokens < cost || at >= r.deadline || res == NotSent {
 		b.finish(r)
 		return
--- a/state.go
+++ b/state.go
@@ -44,6 +44,7 @@
 	warmFrom                   time.Duration // when its latest start became known or seen
 	seen                       bool          // has answered this balancer since then
 	down                       bool          // its process seems to have died since the last answer
+	spell, mutes               int           // attempts without a word in its zone's present spell of silence
 	cold                       bool
 	budget                     float64 // work that may be sent while it is cold
 	budgetAt                   time.Duration
@@ -106,6 +107,7 @@
 	cost float64
 	open bool
 	late bool // found overdue: its delay is already counted
+	mute bool // its silence is already counted against its zone
 
 	at    bool // in its backend's out
 	large bool // its body came after it was sent, or its answer is large: no time tells that it is overdue
@@ -212,6 +214,8 @@
 	gap    float64 // mean time between requests, ns
 	lastAt time.Duration
 	calls  calls // of operators, that hold
+	zones  []*zone
+	sound  bool // no zone is left or coming back
 }
 
 // New returns a balancer with no state. All its random choices come from seed.
@@ -356,3 +360,66 @@
 	}
 	return l
 }
+
+// zone is what is known of a zone as a whole.
+type zone struct {
+	up      int           // its backends that the list says are up
+	odds    float64       // log odds that it is lost; 0: nothing speaks for that
+	spell   int           // counts times at which something began to
+	began   time.Duration // when the attempt was sent that did
+	dull    float64       // running share of attempts without a word
+	heardAt time.Duration // latest answer
+	left    bool
+	since   time.Duration // left then, the last time
+	rounds  float64       // times left, fading
+	token   int64         // of the timer of the next probe
+	hits    int           // probes answered in a row
+	canary  bool          // one request may go there
+	back    time.Duration // used again since; 0: it has its full part
+}
+
+// zone is the zone of a backend. Those that the settings don't know share one.
+func (b *Balancer) zone(t *backend) *zone {
+	for len(b.zones) <= max(t.Zone, 0) {
+		b.zones = append(b.zones, &zone{})
+	}
+	return b.zones[max(t.Zone, 0)]
+}
+
+// zoneOf is the left zone whose next probe a timer is for.
+func (b *Balancer) zoneOf(token int64) *zone {
+	for _, z := range b.zones {
+		if z.left && z.token == token {
+			return z
+		}
+	}
+	return nil
+}
+
+// onInherit goes on from where the process before was. Its file may hold anything.
+func (b *Balancer) onInherit(e Inherit) {
+	sane := func(x, low, high float64) bool { return x >= low && x <= high }
+	if sane(e.Tokens, 0, bucketCap) {
+		b.tokens = e.Tokens
+	}
+	if len(e.Latency) != len(b.classes) || len(e.Peers) != len(b.peers) ||
+		!sane(e.PerBack, floorPerBack, math.MaxInt32) || !sane(e.Delay, 0, 2) || !sane(e.Best, 0, 1) ||
+		!sane(e.Moved, 0, math.MaxInt64) || !sane(e.Asked, 0, math.MaxInt64) {
+		return // of another configuration, or of none
+	}
+	b.perBack, b.delay = e.PerBack, e.Delay
+	b.best.add(b.now, e.Best)
+	b.demand.add(b.now, max(e.Asked, e.Moved))      // Emptying follows where they are still elsewhere
+	b.born = b.now - time.Duration(4*b.demand.span) // as one that has run for long reckons
+	for i, demand := range e.Peers {
+		if demand >= 0 && i != b.s.Self {
+			b.peers[i] = peer{demand: demand, until: b.now + time.Duration(tellMissed*float64(b.period))}
+		}
+	}
+	for i, latency := range e.Latency {
+		if aim := float64(b.classes[i].Aim); sane(latency, 1, aim) {
+			b.classes[i].latency = latency
+		}
+	}
+	b.reckon()
+}
