--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -107,9 +107,11 @@
 func TestCheckersFindBrokenAgents(t *testing.T) {
 	const drains = "\n[[fault]]\nat = \"300ms\"\nwhat = \"drain\"\nwho = \"backends share=0.5\"\n"
 	const replaces = "\n[[fault]]\nat = \"200ms\"\nwhat = \"replace\"\nwho = \"backends n=0\"\n"
+	const holdsUp = "\n[[fault]]\nat = \"500ms\"\nfor = \"200ms\"\nwhat = \"link\"\nfrom = \"backends\"\nto = \"agents\"\ncut = true\n"
 	rushed := strings.Replace(strings.Replace(small, "rate = 60", "rate = 150", 1), "of = 0.05", "of = 0.7", 1) + replaces
 	for _, c := range []struct{ mode, text, verdict, rule string }{
 		{"honest", small, Kept, ""},
+		{"probes", small + holdsUp, Kept, ""}, // an answer that a cut holds up comes once
 		{"sends-twice", small, Broken, check.RuleDuplicate},
 		{"refuses-what-ran", small, Broken, check.RuleDuplicate},
 		{"hangs-up", small, Broken, check.RuleAnswer},
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -58,6 +58,9 @@
 	a := &brokenAgent{mode: mode, list: map[string]member{}}
 	a.take(config.Known)
 	go a.watch(config.Discovery, config.Known.Version)
+	if mode == "probes" {
+		go a.probe()
+	}
 	panic(http.ListenAndServe(config.Listen, a))
 }
 
@@ -87,6 +90,19 @@
 	}
 }
 
+// probe asks backends for their load all the time, and waits for none of them for long.
+func (a *brokenAgent) probe() {
+	client := &http.Client{Timeout: 50 * time.Millisecond}
+	for range time.Tick(5 * time.Millisecond) {
+		s, _ := a.pick()
+		go func() {
+			if resp, err := client.Get("http://" + s.Addr + "/_load"); err == nil {
+				resp.Body.Close()
+			}
+		}()
+	}
+}
+
 // pick is a backend: by turns, or always the newest.
 func (a *brokenAgent) pick() (best member, n int) {
 	a.mu.Lock()
