Have the lab's pods drop repeats of keyed requests within their window

Need: a repeat in its pod has no second effect and costs next to nothing; the lab's machines served it like any request. Change: pods remember keys for the class's window.

--- a/internal/lab/backends.go
+++ b/internal/lab/backends.go
@@ -233,6 +233,10 @@
 			Informs: l.check.Knows(a.agent, h.m.ID, h.m.Started)}
 		if p := l.playing(a); p != nil {
 			job.Work, job.Key = time.Duration(float64(p.work)*rng.Lognormal(draw, 1, 0.3)), p.key
+			if l.dropped(now, p, h) { // its effect has happened there: what is left to do is to say so
+				l.check.Note(now, a.id, h.m.ID, "its pod has met the key: the repeat is dropped")
+				job.Work, job.Key = h.m.ProbeWork, 0
+			}
 		} else {
 			job.Work = l.kinds[0].work
 		}
@@ -240,6 +244,27 @@
 	}
 }
 
+// podKey is a client's request as the backends of one pod know it.
+type podKey struct {
+	cell int
+	key  string
+}
+
+// dropped reports whether a keyed request has come to a pod before, within its window, and keeps that it has. The
+// lock is held.
+func (l *Lab) dropped(now time.Duration, p *play, h *host) bool {
+	if p.idem == "" {
+		return false
+	}
+	k, window := podKey{h.m.Cell, p.idem}, l.kinds[p.class].window
+	if l.pods[k] {
+		return true
+	}
+	l.pods[k] = true
+	l.at(now+window, func(time.Duration) { delete(l.pods, k) })
+	return false
+}
+
 // playing is the client's request behind an attempt; nil: a visitor's.
 func (l *Lab) playing(a *attempt) *play {
 	if !a.known {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -61,7 +61,8 @@
 	agents                   []*agent
 	disc                     *discovery
 	attempts                 map[uint64]*attempt
-	attempt                  uint64 // number of the latest
+	pods                     map[podKey]bool // keys that pods have met
+	attempt                  uint64          // number of the latest
 	parked                   []parked
 	burst                    float64
 	faults                   []string // under way, for the table
@@ -195,7 +196,7 @@
 		return nil, err
 	}
 	l := &Lab{Options: o, block: b, rng: rng.New(o.Seed), poke: make(chan struct{}, 1), burst: 1,
-		late: hdrhistogram.New(1, maxLate, 3), attempts: map[uint64]*attempt{}, starter: make(chan func()),
+		late: hdrhistogram.New(1, maxLate, 3), attempts: map[uint64]*attempt{}, pods: map[podKey]bool{}, starter: make(chan func()),
 		tally: check.NewTally(s.Settle.D()), recorder: newRecorder(o.Events)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.net = link.New(l.way, s.World.Jitter, l.rng)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -112,6 +112,7 @@
 	for _, c := range []struct{ mode, text, verdict, rule string }{
 		{"honest", small, Kept, ""},
 		{"probes", small + holdsUp, Kept, ""}, // an answer that a cut holds up comes once
+		{"repeats-in-pod", small, Kept, ""},
 		{"sends-twice", small, Broken, check.RuleDuplicate},
 		{"refuses-what-ran", small, Broken, check.RuleDuplicate},
 		{"hangs-up", small, Broken, check.RuleAnswer},
@@ -134,6 +135,9 @@
 			if c.rule != "" && r.Rules.ByRule[c.rule] == 0 {
 				t.Errorf("broken rules: %v, want %s", r.Rules.ByRule, c.rule)
 			}
+			if c.mode == "repeats-in-pod" && r.Attempts <= 1 {
+				t.Errorf("%v attempts a request: nothing was repeated", r.Attempts)
+			}
 			if c.rule == check.RuleDuplicate && len(r.Rules.History.History) < 4 {
 				t.Errorf("the offender's history has %d lines", len(r.Rules.History.History))
 			}
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -172,6 +172,8 @@
 	}
 	status, text := send(s, id, body)
 	switch {
+	case a.mode == "repeats-in-pod" && odd && r.Header.Get("Idempotency-Key") != "":
+		status, text = send(s, id, body)
 	case a.mode == "sends-twice" && odd:
 		other, _ := a.pick()
 		status, text = send(other, id, body)
