--- /dev/null
+++ b/internal/lab/rng/rng_test.go
@@ -0,0 +1,55 @@
+package rng
+
+import (
+	"math"
+	"testing"
+)
+
+// Streams are told apart by seed and purpose, and none moves another.
+func TestStreams(t *testing.T) {
+	first := func(seed uint64, purpose string) uint64 { return New(seed).Stream(purpose).Uint64() }
+	if first(1, "work") != first(1, "work") {
+		t.Error("the same stream begins differently")
+	}
+	seen := map[uint64]string{}
+	for _, seed := range []uint64{0, 1, 2} {
+		for _, purpose := range []string{"", "work", "works", "work/1", "loss"} {
+			x := first(seed, purpose)
+			if other, met := seen[x]; met {
+				t.Errorf("%q and %q draw the same", purpose, other)
+			}
+			seen[x] = purpose
+		}
+	}
+	s := New(1)
+	alone := s.Of("work", 3).Uint64()
+	for range 100 {
+		s.Of("work", 2).Uint64()
+	}
+	if s.Of("work", 3).Uint64() != alone {
+		t.Error("another stream's draws moved this one")
+	}
+}
+
+// Draws have the stated mean, spread and weights.
+func TestDraws(t *testing.T) {
+	const draws = 200000
+	r, sum, squares := New(1).Stream("lognormal"), 0.0, 0.0
+	for range draws {
+		x := Lognormal(r, 3, 0.5)
+		sum, squares = sum+x, squares+x*x
+	}
+	mean := sum / draws
+	if cv := math.Sqrt(squares/draws-mean*mean) / mean; math.Abs(mean-3) > 0.03 || math.Abs(cv-0.5) > 0.02 {
+		t.Errorf("mean %v, coefficient of variation %v", mean, cv)
+	}
+	z, counts := NewZipf(4, 1), [4]float64{}
+	for range draws {
+		counts[z.Draw(r)]++
+	}
+	for i, n := range counts {
+		if want := draws / float64(i+1) / (1 + 1./2 + 1./3 + 1./4); math.Abs(n-want) > 0.02*want {
+			t.Errorf("rank %d came %v times, want %v", i, n, want)
+		}
+	}
+}
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -165,7 +165,10 @@
 		send(s, "feedfacefeedface", body)
 	case a.mode == "rewrites" && odd:
 		body = append(body, '!')
-	case a.mode == "dies" && n == 20:
+	case a.mode == "dies" && n == 20: // in the middle of an answer
+		w.Header().Set("Content-Length", "1000")
+		fmt.Fprint(w, "served "+id)
+		_ = http.NewResponseController(w).Flush() // the client sees it or the end
 		os.Exit(7)
 	case a.mode == "hoards" && n == 20:
 		hoard = bytes.Repeat([]byte{1}, 256<<20)
