--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -49,30 +49,30 @@
 	scale float64 // of work and of every time that goes with it
 	kinds []class
 
-	mu                       sync.Mutex
-	agenda                   agenda
-	seq                      uint64
-	poke                     chan struct{}
-	net                      *link.Net
-	check                    *check.Checker
-	tally                    *check.Tally
-	late                     *hdrhistogram.Histogram // us
-	hosts                    []*host
-	agents                   []*agent
-	disc                     *discovery
-	attempts                 map[uint64]*attempt
-	pods                     map[podKey]bool // keys that pods have met
-	attempt                  uint64          // number of the latest
-	parked                   []parked
-	burst                    float64
-	faults                   []string // under way, for the table
-	crashes                  []string
-	fallen                   int // machines pushed over while cold
-	quotas                   []quota
-	gateLock                 sync.Mutex // gates change one set after the other
-	datagrams, datagramBytes int
-	err                      error
-	closing                  bool
+	mu        sync.Mutex
+	agenda    agenda
+	seq       uint64
+	poke      chan struct{}
+	net       *link.Net
+	check     *check.Checker
+	tally     *check.Tally
+	late      *hdrhistogram.Histogram // us
+	hosts     []*host
+	agents    []*agent
+	disc      *discovery
+	attempts  map[uint64]*attempt
+	pods      map[podKey]bool // keys that pods have met
+	attempt   uint64          // number of the latest
+	parked    []parked
+	burst     float64
+	faults    []string // under way, for the table
+	crashes   []string
+	fallen    int // machines pushed over while cold
+	quotas    []quota
+	gateLock  sync.Mutex // gates change one set after the other
+	datagrams int        // between agents
+	err       error
+	closing   bool
 
 	ctx      context.Context
 	cancel   context.CancelFunc
--- a/internal/lab/relays.go
+++ b/internal/lab/relays.go
@@ -52,7 +52,6 @@
 		l.mu.Lock()
 		now := l.now()
 		l.datagrams++
-		l.datagramBytes += size
 		for _, d := range l.net.Way(party(link.Agent, from.n), party(link.Agent, to.n), link.UDP, fmt.Sprintf("%d/%d/%d", from.n, to.n, n)) {
 			l.at(now+d, func(time.Duration) {
 				_, _ = from.relay.WriteToUDP(data, target) // a receiver that is gone misses it
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -179,7 +179,7 @@
 	return names
 }
 
-// Load reads a scenario by its built-in name or from a file. What it does not say is as on a calm day.
+// Read reads a scenario by its built-in name or from a file. What it does not say is as on a calm day.
 func Read(name string) (*Scenario, error) {
 	file, text := name, []byte(nil)
 	var err error
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -35,7 +35,7 @@
 	os.Exit(0)
 }
 
-// standIn is an agent that sends each request to one backend, once, but for what its mode gets wrong.
+// brokenAgent sends each request to one backend, once, but for what its mode gets wrong.
 type brokenAgent struct {
 	mode string
 	mu   sync.Mutex
@@ -43,6 +43,7 @@
 	n    int
 }
 
+// standIn runs such an agent, configured as the platform does.
 func standIn(mode string) {
 	text, err := os.ReadFile(os.Getenv("PROXY_CONFIG"))
 	if err != nil {
