--- a/limits.go
+++ b/limits.go
@@ -12,7 +12,7 @@
 	aimedDelay   = 0.35 // mean latency, as a share of the aim, above which less is kept in flight
 	aimedAlone   = 0.6  // the same for a thin agent without peers: full servers met by chance count as delay
 	limitCut     = 0.9  // one cut of the in-flight limit
-	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
+	limitGrow    = 6.0  // and its growth, in attempts per backend for each round of answers at no delay
 	thinPart     = 1.0  // an even part of the limit below this is kept by credit, not by counting
 	thinBurst    = 4.0  // mean requests that may go out ahead of the credit
 	thinMost     = 2.0  // what a first try brings at most, in its own work: retries need some too
@@ -132,8 +132,10 @@
 }
 
 // pace moves the limit on attempts in flight by the latency seen, as a share of the aim: down
-// when the running mean passes the aimed share, up while it binds. Departure: beyond it requests
-// are held, then refused, since a queue that outlasts the aims serves nobody. The floor, a few
+// when the running mean passes the aimed share, up while it binds, by the square of what is left to
+// it: when a zone is lost the others have to take its part within seconds, and near the aimed delay one
+// step too many turns backends slow. Departure: beyond it requests are held, then refused, since a
+// queue that outlasts the aims serves nobody. The floor, a few
 // attempts per backend, keeps a fleet in use that is slow without a queue.
 func (b *Balancer) pace(share float64) {
 	// The mean spans what is in flight at once: over less, chance would cut a busy agent's limit.
@@ -144,7 +146,8 @@
 		b.perBack = max(floorPerBack, b.perBack*min(limitCut, aimedDelay/b.delay))
 		b.cutAt = b.now
 	case b.delay < aimedDelay && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
-		b.perBack += limitGrow / b.limit() * (1 - b.delay/aimedDelay)
+		left := 1 - b.delay/aimedDelay
+		b.perBack += limitGrow / b.limit() * left * left
 	}
 }
 
