--- a/brookferry.go
+++ b/brookferry.go
@@ -8,10 +8,7 @@
 // Constants are dimensionless; every scale comes from the settings or from what is observed.
 
 import (
-	"cmp"
-	"fmt"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -172,38 +169,7 @@
 	} else {
 		b.askFails = 0
 	}
-	listed := map[string]bool{}
-	for _, n := range b.heed(e.Backends) {
-		listed[n.ID] = true
-		t := b.byID[n.ID]
-		if t == nil {
-			t = &backend{Backend: n, key: keyOf(n.ID), slow: 1, rank: keyOf(fmt.Sprint(n.ID, b.s.Self))}
-			b.byID[n.ID], b.byKey[t.key] = t, t
-			b.backends = append(b.backends, t)
-			if n.Started > 0 {
-				b.start(t, n.Started)
-			}
-			continue
-		}
-		if n.Started > t.Started {
-			b.start(t, max(n.Started, t.warmFrom))
-			t.strikes, t.ejected, t.down = 0, 0, false
-		}
-		t.Backend = n
-	}
-	slices.SortStableFunc(b.backends, func(x, y *backend) int { return cmp.Compare(x.rank, y.rank) })
-	// One that is gone is kept no longer than its attempts are out: fleets are replaced again and again.
-	b.backends = slices.DeleteFunc(b.backends, func(t *backend) bool {
-		if e.Kind != ListDelta && !listed[t.ID] {
-			t.State = Gone
-		}
-		over := t.State == Gone && len(t.out) == 0
-		if over {
-			delete(b.byID, t.ID)
-			delete(b.byKey, t.key)
-		}
-		return over
-	})
+	b.merge(e)
 }
 
 // send starts an attempt. Nothing else does; the rules are checked here last.
--- a/operations.go
+++ b/operations.go
@@ -42,20 +42,6 @@
 	}
 }
 
-// onStream takes that an answer has begun: no other attempt may answer, and this one waits for nothing.
-func (b *Balancer) onStream(e StreamStarted) {
-	r := b.requests[e.Request]
-	if r == nil {
-		return
-	}
-	r.stream = true
-	if e.Attempt >= 0 && e.Attempt < len(r.attempts) && r.attempts[e.Attempt].open {
-		a := r.attempts[e.Attempt]
-		a.large = true
-		b.leave(a)
-	}
-}
-
 // has reports whether a call may name this id.
 func (b *Balancer) has(id string) bool {
 	_, out := b.calls.detached[id]
--- a/peers.go
+++ b/peers.go
@@ -2,10 +2,6 @@
 
 // What agents tell each other, and whom.
 
-import (
-	"time"
-)
-
 const (
 	tellFan    = 8   // peers told each time: all at a small site, as many at random at a large one
 	tellMissed = 4.0 // a peer that misses so many tells has stopped; one never heard counts as a mean one
@@ -41,33 +37,3 @@
 	}
 	b.reckon()
 }
-
-// hear takes a peer's demand. One whose clients are sent elsewhere hands its demand to the others, to
-// each an even part, and takes it back when they return; what really comes soon counts for more.
-func (b *Balancer) hear(p *peer, m tidings) {
-	p.until = b.now + time.Duration(tellMissed*float64(b.period))
-	moved := 0.0
-	switch {
-	case m.away && p.moved == 0:
-		moved = max(m.demand, 1)
-		p.demand, p.moved = 0, moved
-	case !m.away:
-		moved = -p.moved
-		p.demand, p.moved = m.demand, 0
-	}
-	if moved == 0 {
-		return
-	}
-	others := []*peer{}
-	for i := range b.peers {
-		if q := &b.peers[i]; q != p && i != b.s.Self && b.now < q.until && q.moved == 0 {
-			others = append(others, q)
-		}
-	}
-	part := moved / float64(len(others)+1)
-	for _, q := range others {
-		q.demand = max(0, q.demand+part)
-	}
-	b.demand.total = max(0, b.demand.sum(b.now)+part)
-	b.reckon()
-}
--- a/state.go
+++ b/state.go
@@ -10,12 +10,6 @@
 
 // The records that the module keeps, and helpers that count. Nothing is decided here.
 
-type peer struct {
-	demand float64
-	moved  float64       // what its clients asked for when operators sent them elsewhere; 0: they are there
-	until  time.Duration // what it told holds until then
-}
-
 type classState struct {
 	Class
 	latency  float64       // running mean of served latency, ns
@@ -50,13 +44,6 @@
 	budgetAt                   time.Duration
 }
 
-// asked is the decayed work that clients asked for, as it will stand once the agent has run for
-// long: one that was restarted would reckon itself quiet beside peers that were not.
-func (b *Balancer) asked() float64 {
-	age := max(float64(b.now-b.born), float64(b.period)/4)
-	return b.demand.sum(b.now) / (1 - math.Exp(-age/b.demand.span))
-}
-
 // decaying is a sum of which each part fades exponentially over a span.
 type decaying struct {
 	total, span float64
@@ -101,42 +88,6 @@
 	return sum / max(1, float64(n))
 }
 
-type attempt struct {
-	b    *backend
-	sent time.Duration
-	cost float64
-	open bool
-	late bool // found overdue: its delay is already counted
-	mute bool // its silence is already counted against its zone
-
-	at    bool // in its backend's out
-	large bool // its body came after it was sent, or its answer is large: no time tells that it is overdue
-}
-
-type request struct {
-	id       string
-	class    int
-	aim      time.Duration // answers after this time earn less
-	deadline time.Duration
-	work     float64 // expected work as told, ns; 0: unknown
-	attempts []*attempt
-	open     int      // attempts out
-	risky    int      // attempts that may have run, those out included
-	anchor   *attempt // the first of these: sets the group and the window
-	retries  int
-	failed   *backend // the backend that failed it last
-	timer    int64    // the token of its latest timer; earlier ones are void
-	key      uint64   // a hash of what it concerns; 0: unknown
-	repeat   bool     // a later try of the client: part of its aim has passed
-	passed   bool     // found no backend in this step
-
-	came time.Duration // its time runs from then
-
-	waiting, holding, ended bool // for its backoff; for room; done with
-	stream                  bool // bound to the attempt it has: being answered, or part of its body is gone
-	coming                  bool // its body is
-}
-
 // unit is what worth is counted by.
 func (b *Balancer) unit(c *classState) float64 {
 	if b.s.ByWork {
@@ -292,45 +243,6 @@
 	b.best.total = max(served, b.best.sum(b.now))
 }
 
-// enter books an attempt at its backend. With a body that is still coming it holds no place: the
-// backend has nothing to do yet, and no time runs.
-func (b *Balancer) enter(r *request, a *attempt) {
-	a.large = r.coming
-	if !r.coming {
-		a.at = true
-		a.b.out = append(a.b.out, a)
-		b.inFlight++
-	}
-}
-
-// leave ends that: with the outcome, or once a large answer has begun. What is left to do then is the
-// network's.
-func (b *Balancer) leave(a *attempt) {
-	if a.at {
-		a.at = false
-		a.b.out = without(a.b.out, a)
-		b.inFlight--
-	}
-}
-
-func (b *Balancer) onBodyWhole(e BodyWhole) {
-	r := b.requests[e.Request]
-	if r == nil || !r.coming {
-		return
-	}
-	r.coming = false
-	c := &b.classes[r.class]
-	left := r.deadline - r.came
-	r.came, r.deadline, r.aim = b.now, b.now+left, b.now+min(c.Aim, left)
-	for _, a := range r.attempts {
-		if a.open && !a.at {
-			a.sent, a.at = b.now, true
-			a.b.out = append(a.b.out, a)
-			b.inFlight++
-		}
-	}
-}
-
 // Legacy is what a process of an agent hands on to the next: the two are one agent to the rules, and to
 // its peers.
 type Legacy struct {
