--- a/cmd/martenbeam/lab.go
+++ b/cmd/martenbeam/lab.go
@@ -199,6 +199,13 @@
 	fmt.Fprintf(w, "  served in aim   %6.2f%% of the worth; worst 10 s %.2f%% from %d s\n", 100*r.ServedInAim, 100*r.Worst10s, r.Worst10sAt)
 	fmt.Fprintf(w, "  refused %.2f%%, failed %.2f%%, lost %d; %.3f attempts a request, %.1f%% of them to another zone\n",
 		100*r.Refused, 100*r.Failed, r.Lost, r.Attempts, 100*r.CrossZone)
+	switch left := r.LeftAfter; {
+	case left == nil:
+	case *left < 0:
+		fmt.Fprintln(w, "  zones out of reach were sent 1% or more of first attempts until the end")
+	default:
+		fmt.Fprintf(w, "  zones out of reach were sent under 1%% of first attempts after %.1f s\n", *left)
+	}
 	fmt.Fprintf(w, "  latency of what was served: p50 %.0f ms, p99 %.0f ms, p99.9 %.0f ms\n", r.Latency.P50, r.Latency.P99, r.Latency.P999)
 	fmt.Fprintf(w, "  agents: at most %.0f MB and %d descriptors, %.1f processor seconds together\n", r.Agent.RSS, r.Agent.FDs, r.Agent.CPU)
 	fmt.Fprintf(w, "  lab late by p50 %.2f ms, p99 %.2f ms; cold backends pushed over: %d\n", r.Late.P50, r.Late.P99, r.FallOvers)
--- a/cmd/martenbeam/up.go
+++ b/cmd/martenbeam/up.go
@@ -106,7 +106,7 @@
 	fmt.Fprintln(t.w, text)
 }
 
-const heading = "  time  agents backends  offered/s  in aim  refused  failed    p50    p99  attempts/r  broken  faults"
+const heading = "  time  agents backends  offered/s  in aim  refused  failed    p50    p99  attempts/r  used  broken  faults"
 
 func row(v lab.View) string {
 	w := v.Last
@@ -117,9 +117,9 @@
 		return part / whole
 	}
 	n := float64(w.Offered)
-	return fmt.Sprintf("%5.0fs  %6d %8d  %9d  %5.1f%%  %6.1f%%  %5.1f%%  %3.0f ms %4.0f ms  %10.2f  %6d  %s", v.At.Seconds(), v.Agents, v.Backends,
+	return fmt.Sprintf("%5.0fs  %6d %8d  %9d  %5.1f%%  %6.1f%%  %5.1f%%  %3.0f ms %4.0f ms  %10.2f  %3.0f%%  %6d  %s", v.At.Seconds(), v.Agents, v.Backends,
 		w.Offered, 100*per(w.InAim, w.Worth), 100*per(float64(w.Refused), n), 100*per(float64(w.Failed+w.Lost), n), w.P50, w.P99,
-		per(float64(w.Attempts), n), v.Broken, strings.Join(v.Faults, ", "))
+		per(float64(w.Attempts), n), 100*w.Used, v.Broken, strings.Join(v.Faults, ", "))
 }
 
 func (t *table) second(_ *lab.Lab, v lab.View) {
--- a/internal/lab/backends.go
+++ b/internal/lab/backends.go
@@ -29,6 +29,8 @@
 	gates  []*gate // by agent
 	down   bool    // its process has ended
 
+	changed uint64 // number of the latest change that discovery has to learn of
+
 	mu    sync.Mutex
 	conns map[*backendConn]bool
 }
@@ -154,7 +156,15 @@
 	l.attempt++
 	a.number, a.came = l.attempt, now
 	print := fingerprint(r.Method, r.URL.RequestURI(), r.Header.Get("Idempotency-Key"), body)
-	l.send(now, a, print, r.Method == http.MethodGet && (r.URL.Path == "/ping" || r.URL.Path == "/_load"))
+	probe := r.Method == http.MethodGet && (r.URL.Path == "/ping" || r.URL.Path == "/_load")
+	if !probe {
+		l.tally.Attempt(now, l.zone(a.party()) != h.m.Zone)
+		if p := l.agents[a.agent].plays[a.id]; p != nil && p.reached != a.id {
+			p.reached = a.id
+			l.tally.First(now, l.shut(a.agent, h))
+		}
+	}
+	l.send(now, a, print, probe)
 	l.mu.Unlock()
 	select {
 	case ans := <-a.reply:
@@ -190,9 +200,6 @@
 func (l *Lab) send(now time.Duration, a *attempt, print uint64, probe bool) {
 	h := a.host
 	l.attempts[a.number] = a
-	if !probe {
-		l.tally.Attempt(now, l.zone(a.party()) != h.m.Zone)
-	}
 	fresh := !a.conn.used
 	a.conn.used = true
 	if l.net.Fault(a.party(), h.party(), link.TCP).Cut || h.m.State == world.Silent {
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -156,3 +156,33 @@
 		t.Errorf("percentiles %v %v", p.P50, p.P99)
 	}
 }
+
+// Zones are left from the time on after which first attempts towards them are few until the span's end.
+func TestLeftAfter(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		shut  func(at time.Duration) bool
+		after time.Duration
+		ok    bool
+	}{
+		"at once":     {func(at time.Duration) bool { return false }, 0, true},
+		"for a while": {func(at time.Duration) bool { return at < 2300*time.Millisecond }, 1300 * time.Millisecond, true},
+		"once more": {func(at time.Duration) bool {
+			return at < 2*second || at > 4500*time.Millisecond && at < 4700*time.Millisecond
+		}, 3700 * time.Millisecond, true},
+		"never":         {func(at time.Duration) bool { return true }, 0, false},
+		"rare ones are": {func(at time.Duration) bool { return at == 4*second }, 0, true},
+	} {
+		tally := NewTally(0)
+		for at := time.Duration(0); at < 6*second; at += 10 * time.Millisecond {
+			tally.First(at, c.shut(at))
+		}
+		after, ok := tally.LeftAfter(Span{second, 5 * second}, 0.01)
+		if after != c.after || ok != c.ok {
+			t.Errorf("%s: %v, %v, want %v, %v", name, after, ok, c.after, c.ok)
+		}
+	}
+	if _, ok := NewTally(0).LeftAfter(Span{second, 2 * second}, 0.01); ok {
+		t.Error("nothing was sent, and a zone was left")
+	}
+}
--- a/internal/lab/check/tally.go
+++ b/internal/lab/check/tally.go
@@ -32,6 +32,7 @@
 	Attempts int     `json:"attempts"`
 	P50      float64 `json:"p50_ms"`
 	P99      float64 `json:"p99_ms"`
+	Used     float64 `json:"used"`     // share of the capacity that is up that is at work at its end
 	Agents   int     `json:"agents"`   // that serve at its end
 	Backends int     `json:"backends"` // that are up at its end
 
@@ -46,6 +47,45 @@
 	Classes, Tenants       map[int]*Part
 	Zones                  map[int]*Part
 	from                   time.Duration
+	ways                   []ways // by shutStep
+}
+
+// ways counts first attempts, and those of them whose way was shut.
+type ways struct{ all, shut int }
+
+// shutStep is how finely ways are counted.
+const shutStep = 100 * time.Millisecond
+
+// Span is a stretch of a run.
+type Span struct{ From, To time.Duration }
+
+// First counts a request's first attempt, and whether its backend could not be reached.
+func (t *Tally) First(now time.Duration, shut bool) {
+	n := int(max(0, now) / shutStep)
+	for len(t.ways) <= n {
+		t.ways = append(t.ways, ways{})
+	}
+	t.ways[n].all++
+	if shut {
+		t.ways[n].shut++
+	}
+}
+
+// LeftAfter is the time from a span's begin after which first attempts whose way was shut are less than a share of
+// all until its end; false: there is none, or nothing was sent.
+func (t *Tally) LeftAfter(s Span, most float64) (time.Duration, bool) {
+	first, end := int(s.From/shutStep), min(int(s.To/shutStep), len(t.ways))
+	all, shut, at := 0, 0, -1
+	for i := end - 1; i >= first; i-- {
+		all, shut = all+t.ways[i].all, shut+t.ways[i].shut
+		if all > 0 && float64(shut) < most*float64(all) {
+			at = i
+		}
+	}
+	if at < 0 {
+		return 0, false
+	}
+	return time.Duration(at)*shutStep - s.From.Truncate(shutStep), true
 }
 
 // Part is the service of one class, tenant or zone.
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -37,6 +37,7 @@
 	leaves   time.Duration // the client goes away so long after a try's begin; 0: it doesn't
 	honours  bool
 	tries    int
+	reached  string // the latest of its tries of which an attempt was seen
 	draw     *rand.Rand
 	uri      string
 	idem     string
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -21,10 +21,23 @@
 	{"refused", func(r *Report) float64 { return r.Refused }, false},
 	{"failed", func(r *Report) float64 { return r.Failed }, false},
 	{"attempts_per_request", func(r *Report) float64 { return r.Attempts }, false},
+	{"left_after_s", leftFigure, false},
 	{"cross_zone_share", func(r *Report) float64 { return r.CrossZone }, false},
 	{"latency_p99_ms", func(r *Report) float64 { return r.Latency.P99 }, false},
 }
 
+// leftFigure is the time until zones out of reach were left, in seconds: 0 where none was, all of the run where they
+// never were.
+func leftFigure(r *Report) float64 {
+	switch {
+	case r.LeftAfter == nil:
+		return 0
+	case *r.LeftAfter < 0:
+		return r.For
+	}
+	return *r.LeftAfter
+}
+
 // Pair is one seed played with both versions.
 type Pair struct {
 	Seed uint64  `json:"seed"`
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -96,10 +96,19 @@
 	l.seq++
 	r := l.rng.Of("notice/"+h.m.ID, int(l.seq))
 	started := h.m.Started
+	h.changed = l.seq
+	seq := l.seq
 	l.at(now+seconds(late[0]+(late[1]-late[0])*r.Float64()), func(t time.Duration) {
+		if h.changed != seq {
+			return // a machine that fell silent and came back before this was known: there is nothing left to tell
+		}
 		d.changes = append(d.changes, change{host: h, state: state, started: started, learned: t})
 		d.stir()
-		l.at(now+toldWithin, func(t time.Duration) { d.toldAnyway(now, h, state, started) })
+		l.at(now+toldWithin, func(t time.Duration) {
+			if h.changed == seq {
+				d.toldAnyway(now, h, state, started)
+			}
+		})
 	})
 }
 
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -91,6 +91,7 @@
 			}
 		})
 	}
+	l.watchShut(f, now)
 	switch f.What {
 	case scenario.Link:
 		l.linkFault(i, f, now)
@@ -104,6 +105,8 @@
 		l.inSteps(f, now, l.pickHosts(i, f.Who), func(h *host, now time.Duration) { l.drain(h, now, f.What == scenario.Replace) })
 	case scenario.Bad:
 		l.trouble(l.pickHosts(i, f.Who), f, now, f.Size, 0)
+	case scenario.Slow:
+		l.trouble(l.pickHosts(i, f.Who), f, now, 0, f.Size)
 	case scenario.Neighbour:
 		l.neighbour(i, f, now)
 	case scenario.ListSilent:
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -67,7 +68,11 @@
 	burst     float64
 	faults    []string // under way, for the table
 	crashes   []string
-	fallen    int // machines pushed over while cold
+	fallen    int          // machines pushed over while cold
+	spans     []check.Span // in which zones can't be reached
+	shutTill  time.Duration
+	watching  bool                   // for connections that don't come up
+	ways      map[netip.AddrPort]way // whose address that is
 	quotas    []quota
 	gateLock  sync.Mutex // gates change one set after the other
 	datagrams int        // between agents
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -175,6 +175,32 @@
 	}
 }
 
+// An agent that goes on sending to a zone it can't reach is seen to, by what waits and by connections that don't come
+// up; without a fault between zones nothing is told of it.
+func TestZoneThatIsNeverLeft(t *testing.T) {
+	const cut = "[[fault]]\nat = \"500ms\"\nfor = \"2s\"\nwhat = \"zone-cut\"\nwho = \"zone zone=1\"\n"
+	if r := playOut(t, options(t, "honest", small+cut)); r.LeftAfter == nil || *r.LeftAfter >= 0 {
+		t.Errorf("left after %v, want never", r.LeftAfter)
+	}
+	if r := playOut(t, options(t, "honest", small)); r.LeftAfter != nil {
+		t.Errorf("left after %v without a fault", *r.LeftAfter)
+	}
+}
+
+// The kernel's table is read as it is written.
+func TestOpenings(t *testing.T) {
+	table := `  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode
+   0: 0100007F:1F90 00000000:0000 0A 00000000:00000000 00:00000000 00000000     0        0 1
+   1: 0203A57F:C350 0465A57F:0050 02 00000001:00000000 01:00000064 00000000     0        0 2
+   2: 0203A57F:C351 0465A57F:0050 01 00000000:00000000 00:00000000 00000000     0        0 3
+   3: 0203A57:C351 zz65A57F:0050 02
+`
+	got := openings([]byte(table))
+	if len(got) != 1 || got[0].from.String() != "127.165.3.2:50000" || got[0].to.String() != "127.165.101.4:80" {
+		t.Errorf("%v", got)
+	}
+}
+
 // A lab that is late gives no verdict, whatever it saw.
 func TestLateLabGivesNoVerdict(t *testing.T) {
 	r := playOut(t, options(t, "sends-twice", strings.Replace(small, "late_ms = 60000", "late_ms = 0.0001", 1)))
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -30,20 +30,21 @@
 	Settle   float64 `json:"settle_s"`
 	Verdict  string  `json:"verdict"` // "kept", "broken", "crashed", "void", "ended early"
 
-	Offered     int     `json:"offered"` // clients' requests, each with all its tries
-	ServedInAim float64 `json:"served_in_aim"`
-	Refused     float64 `json:"refused"`
-	Failed      float64 `json:"failed"`
-	Lost        int     `json:"lost"`
-	Attempts    float64 `json:"attempts_per_request"`
-	CrossZone   float64 `json:"cross_zone_share"`
-	Worst10s    float64 `json:"worst_10s"`
-	Worst10sAt  int     `json:"worst_10s_at_s"`
-	FallOvers   int     `json:"fall_overs"`
-	Latency     P       `json:"latency_ms"`
-	Rules       Rules   `json:"rules"`
-	Crashes     int     `json:"crashes"`
-	Crash       string  `json:"crash,omitempty"`
+	Offered     int      `json:"offered"` // clients' requests, each with all its tries
+	ServedInAim float64  `json:"served_in_aim"`
+	Refused     float64  `json:"refused"`
+	Failed      float64  `json:"failed"`
+	Lost        int      `json:"lost"`
+	Attempts    float64  `json:"attempts_per_request"`
+	CrossZone   float64  `json:"cross_zone_share"`
+	Worst10s    float64  `json:"worst_10s"`
+	Worst10sAt  int      `json:"worst_10s_at_s"`
+	LeftAfter   *float64 `json:"left_after_s"` // until under 1% of first attempts went to zones out of reach, see leftAfter
+	FallOvers   int      `json:"fall_overs"`
+	Latency     P        `json:"latency_ms"`
+	Rules       Rules    `json:"rules"`
+	Crashes     int      `json:"crashes"`
+	Crash       string   `json:"crash,omitempty"`
 	Late        struct {
 		P50 float64 `json:"p50"`
 		P99 float64 `json:"p99"`
@@ -90,7 +91,7 @@
 		For: s.For.D().Seconds(), Settle: s.Settle.D().Seconds(), Offered: sum.Offered, ServedInAim: share(sum.InAim, sum.Worth),
 		Refused: share(float64(sum.Refused), float64(sum.Offered)), Failed: share(float64(sum.Failed), float64(sum.Offered)), Lost: sum.Lost,
 		Attempts: share(float64(l.tally.Attempts), float64(sum.Offered)), CrossZone: share(float64(l.tally.Cross), float64(l.tally.Attempts)),
-		FallOvers: l.fallen, Crashes: len(l.crashes), WorkScale: l.scale,
+		LeftAfter: l.leftAfter(), FallOvers: l.fallen, Crashes: len(l.crashes), WorkScale: l.scale,
 		Datagrams: float64(l.datagrams) / max(1, l.now().Seconds()),
 		Classes:   map[string]float64{}, Tenants: map[string]float64{}, Zones: map[string]float64{}, Windows: l.tally.Windows}
 	const window = 10 // s
@@ -203,7 +204,7 @@
 			}
 		}
 		if n < len(l.tally.Windows) {
-			l.tally.Windows[n].Agents, l.tally.Windows[n].Backends = v.Agents, v.Backends
+			l.tally.Windows[n].Agents, l.tally.Windows[n].Backends, l.tally.Windows[n].Used = v.Agents, v.Backends, l.used(now)
 		}
 		const behind = 3 // s: most requests have ended by then
 		if v.LastAt = n - behind; v.LastAt >= 0 && v.LastAt < len(l.tally.Windows) {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -39,6 +39,7 @@
 	Backends int      `toml:"backends"`
 	Zones    []string `toml:"zones"`
 	ZoneSize []int    `toml:"zone_size"` // backends of each zone; empty: evenly
+	Regions  []string `toml:"regions"`   // the region of each zone; empty: each zone stands alone
 	Pod      int      `toml:"pod"`       // backends of one pod
 }
 
@@ -78,6 +79,7 @@
 	HandshakeMs  Range           `toml:"handshake_ms"`
 	SameMs       Range           `toml:"same_ms"` // one way within a zone
 	CrossMs      Range           `toml:"cross_ms"`
+	FarMs        Range           `toml:"far_ms"` // between regions
 	PeerMs       Range           `toml:"peer_ms"`
 	Jitter       float64         `toml:"jitter"`
 }
@@ -136,6 +138,7 @@
 	Replace     = "replace"   // backends drain and others come in their place
 	Drain       = "drain"
 	Bad         = "bad"         // backends fail a share of requests at once
+	Slow        = "slow"        // another program takes the share Size all the time
 	Neighbour   = "neighbour"   // another program takes a share of backends, on and off
 	Burst       = "burst"       // Size times the load
 	ListSilent  = "list-silent" // discovery says nothing
@@ -144,7 +147,7 @@
 	restartNone = "never"
 )
 
-var kinds = []string{Link, Kill, Term, Stop, ZoneLost, ZoneCut, ZoneDeaf, Replace, Drain, Bad, Neighbour, Burst,
+var kinds = []string{Link, Kill, Term, Stop, ZoneLost, ZoneCut, ZoneDeaf, Replace, Drain, Bad, Slow, Neighbour, Burst,
 	ListSilent, ListAway, ListRewind}
 
 // Default is a calm day: what a scenario does not say.
@@ -158,7 +161,7 @@
 			ThrashAt: Range{4.1, 6.8}, ColdFrom: Range{0.12, 0.35}, RampS: Range{10, 20}, FallMultiple: 3,
 			FallWindow: strict.Duration(2 * time.Second), Choke: true, ErrorRate: Range{0, 0.002}, KeyGain: Range{0.3, 0.6},
 			KeyForS: Range{3, 8}, KeysPerCore: 15, Conns: Range{400, 520}, HandshakeMs: Range{0.2, 0.5}, SameMs: Range{0.1, 0.26},
-			CrossMs: Range{0.78, 1.4}, PeerMs: Range{1.4, 6}, Jitter: 0.25},
+			CrossMs: Range{0.78, 1.4}, FarMs: Range{4, 9}, PeerMs: Range{1.4, 6}, Jitter: 0.25},
 		Lists:  Lists{NoticeS: Range{0.5, 2}, SilentS: Range{4.3, 6}, AddS: Range{0.44, 1.5}},
 		Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 768, LateMs: 20},
 	}
@@ -242,6 +245,8 @@
 		return s.wrong("fleet.zones", "at least one is needed")
 	case len(s.Fleet.ZoneSize) > 0 && len(s.Fleet.ZoneSize) != zones:
 		return s.wrong("fleet.zone_size", "%d sizes for %d zones", len(s.Fleet.ZoneSize), zones)
+	case len(s.Fleet.Regions) > 0 && len(s.Fleet.Regions) != zones:
+		return s.wrong("fleet.regions", "%d regions for %d zones", len(s.Fleet.Regions), zones)
 	case s.Fleet.Pod < 1:
 		return s.wrong("fleet.pod", "%d is not a number of backends", s.Fleet.Pod)
 	case !(s.Load.Rate > 0 && s.Load.Rate <= 1e5):
@@ -259,7 +264,7 @@
 	}
 	for key, r := range map[string]Range{"world.slots_per_core": s.World.SlotsPerCore, "world.room_per_core": s.World.RoomPerCore,
 		"world.cold_from": s.World.ColdFrom, "world.ramp_s": s.World.RampS, "world.conns": s.World.Conns, "lists.notice_s": s.Lists.NoticeS,
-		"lists.silent_s": s.Lists.SilentS, "lists.add_s": s.Lists.AddS, "world.same_ms": s.World.SameMs, "world.cross_ms": s.World.CrossMs} {
+		"lists.silent_s": s.Lists.SilentS, "lists.add_s": s.Lists.AddS, "world.same_ms": s.World.SameMs, "world.cross_ms": s.World.CrossMs, "world.far_ms": s.World.FarMs} {
 		if !(r[0] >= 0 && r[1] >= r[0]) {
 			return s.wrong(key, "%v is not a range of two numbers, the lower first", r)
 		}
@@ -321,7 +326,7 @@
 		if p, _ := ParseSet(f.Who); p.Kind != "agents" {
 			return s.wrong(key("who"), "%q is no set of agents", f.Who)
 		}
-	case Replace, Drain, Bad, Neighbour:
+	case Replace, Drain, Bad, Slow, Neighbour:
 		if p, _ := ParseSet(f.Who); p.Kind != "backends" {
 			return s.wrong(key("who"), "%q is no set of backends", f.Who)
 		}
@@ -330,7 +335,7 @@
 			return s.wrong(key("who"), `%q is no zone, such as "zone zone=1"`, f.Who)
 		}
 	}
-	if (f.What == Bad || f.What == Neighbour) && !(f.Size > 0 && f.Size <= 1) || f.What == Burst && !(f.Size > 0 && f.Size <= 20) {
+	if (f.What == Bad || f.What == Slow || f.What == Neighbour) && !(f.Size > 0 && f.Size <= 1) || f.What == Burst && !(f.Size > 0 && f.Size <= 20) {
 		return s.wrong(key("size"), "%v is out of range", f.Size)
 	}
 	return nil
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -152,6 +152,14 @@
 	return p.N % len(l.Scenario.Fleet.Zones)
 }
 
+// region is the region of a zone; without any, all are near.
+func (l *Lab) region(zone int) string {
+	if regions := l.Scenario.Fleet.Regions; zone >= 0 && len(regions) > 0 {
+		return regions[zone]
+	}
+	return ""
+}
+
 // way is the ordinary one-way time between two parties.
 func (l *Lab) way(from, to link.Party) time.Duration {
 	r := l.Scenario.World.CrossMs
@@ -162,6 +170,8 @@
 		r = l.Scenario.World.PeerMs
 	case l.zone(from) == l.zone(to):
 		r = l.Scenario.World.SameMs
+	case l.region(l.zone(from)) != l.region(l.zone(to)):
+		r = l.Scenario.World.FarMs
 	}
 	return time.Duration((r[0] + r[1]) / 2 * float64(time.Millisecond))
 }
