Send near first: the own zone, then the own region, then the rest, while there is room

near (picking.go): a backend of another zone counts a tenth, of another region less by the ratio of the prices, for an idle choice and for a key's distance alike; it grows to the whole as answers from the own zone take 30% longer than from the other. In the own zone a backend with one attempt out still is idle, and may hold as many as the agents of that zone make of it.

--- a/health.go
+++ b/health.go
@@ -44,6 +44,7 @@
 		w, raw := b.warmth(t), lat
 		lat = max(lat*w, min(lat, a.cost)) // a cold one is slow by that: the rest tells of its queue
 		b.done.add(b.now, b.expected(r)/c.latency/w)
+		b.zone(t).pace = blend(b.zone(t).pace, min(lat/a.cost, slowBound))
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
 		b.write(note{t.key, byte(min(lat/a.cost, slowBound-0.1) * noteStep), b.now})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -28,7 +29,7 @@
 	Discovery string   `toml:"discovery"`
 	Mgmt      string   `toml:"mgmt"`
 	Seed      string   `toml:"seed"`
-	Zones     []string `toml:"zones"`
+	Zones     Zones    `toml:"zones"`
 	Zone      string   `toml:"zone"`
 	Kinds     []string `toml:"kinds"`
 	Limits    struct {
@@ -65,13 +66,56 @@
 		WarmKeys     bool            `toml:"warm_keys"`
 	} `toml:"backends"`
 	Prices struct {
-		CrossZone float64 `toml:"cross_zone"`
+		CrossZone   float64 `toml:"cross_zone"`
+		CrossRegion float64 `toml:"cross_region"`
 	} `toml:"prices"`
 	Classes []Class `toml:"class"`
 
 	file, text string
 }
 
+// Zones are the zones there are: a list of names, where each stands alone, or a table from names to regions.
+type Zones struct {
+	Names   []string // sorted by name if they came as a table
+	Regions []string // of each; nil: they stand alone
+
+	bad, why string // a key that holds what can't be: told by check, which knows its line
+}
+
+// UnmarshalTOML reads either form.
+func (z *Zones) UnmarshalTOML(data any) error {
+	*z = Zones{}
+	switch data := data.(type) {
+	case []any:
+		for _, x := range data {
+			name, ok := x.(string)
+			if !ok {
+				z.bad, z.why = "zones", fmt.Sprintf("%v is no name", x)
+			}
+			z.Names = append(z.Names, name)
+		}
+	case map[string]any:
+		for _, name := range slices.Sorted(maps.Keys(data)) {
+			region, ok := data[name].(string)
+			if !ok {
+				z.bad, z.why = "zones."+name, fmt.Sprintf("%v is no region's name", data[name])
+			}
+			z.Names, z.Regions = append(z.Names, name), append(z.Regions, region)
+		}
+	default:
+		z.bad, z.why = "zones", fmt.Sprintf("%v is neither a list of names nor a table from names to regions", data)
+	}
+	return nil
+}
+
+// numbers are the regions by the number of the first zone that is in each; nil: zones stand alone.
+func (z *Zones) numbers() (list []int) {
+	for _, region := range z.Regions {
+		list = append(list, slices.Index(z.Regions, region))
+	}
+	return list
+}
+
 // Class is one class of requests.
 type Class struct {
 	Name     string          `toml:"name"`
@@ -129,6 +173,9 @@
 }
 
 func (c *Config) check() error {
+	if c.Zones.bad != "" {
+		return c.wrong(c.Zones.bad, "%s", c.Zones.why)
+	}
 	alone := len(c.Peers.Addresses) == 0
 	for _, a := range []struct {
 		key, value string
@@ -151,6 +198,7 @@
 		{"limits.sockets", float64(c.Limits.Sockets), 32, 1 << 20}, {"limits.open", float64(c.Limits.Open), 0, 1e6},
 		{"attempts.most", float64(c.Attempts.Most), 1, 20}, {"backends.cold_from", c.Backends.ColdFrom, 0, 1},
 		{"backends.fall_multiple", c.Backends.FallMultiple, 0, 1000}, {"prices.cross_zone", c.Prices.CrossZone, 0, 1},
+		{"prices.cross_region", c.Prices.CrossRegion, 0, 1},
 		{"peers.self", float64(c.Peers.Self), 0, max(0, float64(len(c.Peers.Addresses)-1))},
 	} {
 		if !(r.value >= r.low && r.value <= r.up) {
@@ -175,7 +223,7 @@
 	if _, err := strconv.ParseUint(c.Seed, 16, 64); c.Seed != "" && err != nil {
 		return c.wrong("seed", "%q is not a hexadecimal number of up to 16 digits", c.Seed)
 	}
-	if !slices.Contains(c.Zones, c.Zone) {
+	if !slices.Contains(c.Zones.Names, c.Zone) {
 		return c.wrong("zone", "%q is none of zones", c.Zone)
 	}
 	if len(c.Classes) == 0 {
@@ -218,7 +266,7 @@
 		"limits":      map[string]any{"cores": c.Limits.Cores, "memory_mb": c.Limits.MemoryMB, "sockets": c.Limits.Sockets},
 		"peer_listen": c.Peers.Listen, "peers": c.Peers.Addresses,
 		"settings": map[string]any{
-			"Balancers": max(1, len(c.Peers.Addresses)), "Me": c.Peers.Self, "Zone": slices.Index(c.Zones, c.Zone), "Dcs": c.Zones, "Kinds": c.Kinds,
+			"Balancers": max(1, len(c.Peers.Addresses)), "Me": c.Peers.Self, "Zone": slices.Index(c.Zones.Names, c.Zone), "Dcs": c.Zones.Names, "Regions": c.Zones.numbers(), "Kinds": c.Kinds,
 			"CountedBy": "request", "MembershipMode": "automatic", "TickMs": ms(c.Attempts.Tick), "Profiles": profiles,
 			"PolicyLimits": map[string]any{"TryLimit": c.Attempts.Most, "SecondCopies": c.Attempts.SecondCopies, "MayProbe": c.Attempts.Probes,
 				"Cancel": c.Attempts.Cancel, "RetryAfter": c.Refusals.RetryAfter, "Peers": len(c.Peers.Addresses) > 1,
@@ -226,7 +274,7 @@
 				"IdleCloseMs": ms(c.Attempts.IdleClose), "MaxOpen": c.Limits.Open},
 			"Contract": map[string]any{"DrainGraceMs": ms(c.Backends.DrainGrace), "GraceToAnswerMs": ms(c.Refusals.Grace), "ColdFrom": c.Backends.ColdFrom,
 				"RampTimeMs": ms(c.Backends.Ramp), "FallMultiple": c.Backends.FallMultiple, "FallMs": ms(c.Backends.FallWindow)},
-			"FamilyInfo": map[string]any{"WarmKeys": c.Backends.WarmKeys}, "Prices": map[string]any{"CrossZone": c.Prices.CrossZone},
+			"FamilyInfo": map[string]any{"WarmKeys": c.Backends.WarmKeys}, "Prices": map[string]any{"CrossZone": c.Prices.CrossZone, "CrossRegion": c.Prices.CrossRegion},
 			"Goal": map[string]any{"Whole": 1}, "Report": map[string]any{"Source": "off"},
 		}})
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,6 +37,10 @@
 		{good + class + "effect2 = 1", "x.toml:8: class.effect2: unknown key"},
 		{good + strings.Replace(class, "safe", "keyed", 1), "x.toml: class[0].window: a keyed class needs"},
 		{good + strings.Replace(class, "2s", "1ms", 1), "x.toml:7: class[0].deadline: aim 1s and deadline 1ms"},
+		{good + "zones = [1]" + class, `x.toml:2: zones: `},
+		{good + "zones = \"a\"" + class, `x.toml:2: zones: `},
+		{good + "zone = \"a\"\n[zones]\na = \"north\"\nb = 3" + class, `x.toml:5: zones.b: `},
+		{good + "zone = \"c\"\n[zones]\na = \"north\"\nb = \"south\"" + class, `x.toml:2: zone: "c" is none of zones`},
 		{good + "name = \"a\nb\"" + class, "x.toml:2: "},
 	} {
 		_, err := Parse("x.toml", c.text)
@@ -62,13 +66,30 @@
 	}
 }
 
+// Zones may be mapped to regions, which the agent then knows by number.
+func TestRegions(t *testing.T) {
+	text := good + "zone = \"riga-b\"\n" + class + "[prices]\ncross_region = 0.1\n[zones]\nriga-b = \"riga\"\nliepaja = \"kurzeme\"\nriga-a = \"riga\"\n"
+	c, err := Parse("x.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := agent.Source{Name: "x.toml", Read: c.Platform, Getenv: func(string) string { return "" }}
+	a, err := source.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(a.Site.Zones, a.Settings.Regions, a.Settings.Zone, a.Settings.CrossRegionPrice); got != "[liepaja riga-a riga-b] [0 1 1] 2 0.1" {
+		t.Error(got)
+	}
+}
+
 // Every key stands in the defaults, with a comment.
 func TestDefaultsAreWhole(t *testing.T) {
 	var keys func(reflect.Type) []string
 	keys = func(typ reflect.Type) (list []string) {
 		for i := range typ.NumField() {
 			f := typ.Field(i)
-			if f.Type.Kind() == reflect.Struct {
+			if f.Type.Kind() == reflect.Struct && f.Type != reflect.TypeFor[Zones]() {
 				list = append(list, "["+f.Tag.Get("toml")+"]")
 				list = append(list, keys(f.Type)...)
 			} else if f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct {
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -193,6 +194,10 @@
 	for _, k := range machineKinds {
 		names = append(names, k.name)
 	}
+	var regions []int
+	for _, name := range s.Fleet.Regions {
+		regions = append(regions, slices.Index(s.Fleet.Regions, name))
+	}
 	var peers []string
 	for _, p := range l.agents {
 		peers = append(peers, p.relay.LocalAddr().String())
@@ -202,7 +207,7 @@
 		"limits":      map[string]any{"cores": s.Limits.Cores, "memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets},
 		"peer_listen": a.peerListen, "peers": peers, "known": known,
 		"settings": map[string]any{
-			"Balancers": len(l.agents), "Me": a.n, "Zone": a.n % len(s.Fleet.Zones), "Dcs": s.Fleet.Zones, "Kinds": names,
+			"Balancers": len(l.agents), "Me": a.n, "Zone": a.n % len(s.Fleet.Zones), "Dcs": s.Fleet.Zones, "Regions": regions, "Kinds": names,
 			"Clients": map[string]any{"MarksRetry": true}, "CountedBy": "request", "FamilyInfo": map[string]any{"WarmKeys": true},
 			"Contract": map[string]any{"AskWithinMs": 10000, "ColdFrom": s.World.ColdFrom[0], "DrainGraceMs": ms(drainGrace),
 				"FallMs": ms(s.World.FallWindow.D()), "FallMultiple": s.World.FallMultiple, "GraceToAnswerMs": 20, "RampTimeMs": s.World.RampS[1] * 1e3},
@@ -211,7 +216,7 @@
 			"PolicyLimits": map[string]any{"Cancel": true, "ConnectTimeoutMs": ms(connectTimeout), "IdleCloseMs": ms(idleClose), "MaxOpen": 100000,
 				"MaxRetryAfterMs": 2000, "MayProbe": true, "Peers": len(l.agents) > 1, "RetryAfter": true, "SecondCopies": true,
 				"StreamsPerConn": 1, "TryLimit": 5},
-			"Prices":   map[string]any{"Connection": 0.023, "CrossZone": 0.03, "LateFail": 0.08, "Peer": 0.0073, "Probe": 0.004, "Waste": 0.04},
+			"Prices":   map[string]any{"Connection": 0.023, "CrossZone": 0.03, "CrossRegion": 0.09, "LateFail": 0.08, "Peer": 0.0073, "Probe": 0.004, "Waste": 0.04},
 			"Profiles": profiles, "Report": map[string]any{"Fields": []string{"inflight", "util", "latency_ms"}, "Source": "on_probe"},
 			"Tenants": shares, "TickMs": 5, "Tier": 0, "Tiers": []string{"dispatch-servers"}, "Weights": "rough",
 		}}, "", " ")
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -38,7 +38,8 @@
 	}
 	FamilyInfo struct{ WarmKeys bool }
 	Goal       struct{ Whole, WorstWindow, WorstClass float64 }
-	Prices     struct{ CrossZone float64 }
+	Prices     struct{ CrossZone, CrossRegion float64 }
+	Regions    []int // of the zones in Dcs; not on the platform
 	Dcs        []string
 	Kinds      []string
 	Report     struct{ Source string }
@@ -96,8 +97,8 @@
 		GoalWhole:      f.Goal.Whole,
 		GoalWindow:     f.Goal.WorstWindow,
 		GoalClass:      f.Goal.WorstClass,
-		CrossZonePrice: f.Prices.CrossZone,
-		WarmKeys:       f.FamilyInfo.WarmKeys,
+		CrossZonePrice: f.Prices.CrossZone, CrossRegionPrice: f.Prices.CrossRegion, Regions: f.Regions,
+		WarmKeys: f.FamilyInfo.WarmKeys,
 	}
 	effects := map[string]brookferry.Effect{
 		"repeatable": brookferry.Safe, "by_key": brookferry.Keyed, "once": brookferry.Unsafe}
--- /dev/null
+++ b/near_test.go
@@ -0,0 +1,36 @@
+package brookferry_test
+
+import (
+	"testing"
+	"time"
+
+	"brookferry"
+)
+
+// Where crossing has a price an agent stays near as long as that is no slower: in its zone, then in its region.
+func TestNearFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(s *brookferry.Settings)
+		slow   map[int]time.Duration
+		ok     func(own, near, far float64) bool
+	}{
+		"no price":    {func(s *brookferry.Settings) {}, nil, func(own, near, far float64) bool { return own < 0.4 && far > 0.25 }},
+		"a price":     {func(s *brookferry.Settings) { s.CrossZonePrice = 0.03 }, nil, func(own, near, far float64) bool { return own > 0.6 && far > 0.02 }},
+		"a slow zone": {func(s *brookferry.Settings) { s.CrossZonePrice = 0.03 }, map[int]time.Duration{0: 8 * ms}, func(own, near, far float64) bool { return own < 0.45 }},
+		"regions": {func(s *brookferry.Settings) {
+			s.CrossZonePrice, s.CrossRegionPrice, s.Regions = 0.03, 0.12, []int{0, 0, 1}
+		}, nil, func(own, near, far float64) bool { return own > 0.6 && far < near/2 && far > 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			z := newZoned(t, 4, c.change)
+			z.slow = c.slow
+			z.run(3 * time.Second)
+			clear(z.first)
+			z.run(20 * time.Second)
+			sum := float64(z.first[0] + z.first[1] + z.first[2])
+			if own, near, far := float64(z.first[0])/sum, float64(z.first[1])/sum, float64(z.first[2])/sum; !c.ok(own, near, far) {
+				t.Errorf("own zone %.2f, near %.2f, far %.2f", own, near, far)
+			}
+		})
+	}
+}
--- a/picking.go
+++ b/picking.go
@@ -6,13 +6,17 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 )
 
 const (
-	meetAgain   = 4.0  // longest aims within which an agent means to meet a backend again
-	widthLeast  = 3    // idle backends at least among which a choice is made
-	crossBias   = 0.25 // chance of an idle backend in another zone, if crossing is priced
-	strikesBias = 0.1  // chance of an idle backend that has not healed yet
+	meetAgain   = 4.0 // longest aims within which an agent means to meet a backend again
+	widthLeast  = 3   // idle backends at least among which a choice is made
+	crossBias   = 0.1 // chance of an idle backend in another zone, if crossing is priced ...
+	spillAt     = 0.3 // ... and answers from the own zone take no longer; from so much longer on it has the same
+	idleNear    = 2.0 // attempts at a backend of the own zone from which on it is not idle
+	nearAfter   = 4.0 // longest aims since the limit was cut from which on distance counts
+	strikesBias = 0.1 // chance of an idle backend that has not healed yet
 )
 
 // pick chooses a backend: one where this balancer has nothing in flight, at
@@ -30,8 +34,9 @@
 		if closed != nil && closed[max(t.Zone, 0)] {
 			continue
 		}
+		focus := b.focus(t)
 		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
-			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share) || !b.coldRoom(t, r) {
+			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share*focus) || !b.coldRoom(t, r) {
 			continue
 		}
 		if !b.healthy(t, r) {
@@ -45,14 +50,16 @@
 			load = max(load, float64(b.inFlight)/float64(b.up)) // a new one counts at the mean: no rush
 		}
 		slow := b.slowness(t) * *b.fit(t, r.class)
-		if load < 1 {
+		near := b.near(t)
+		if load < 1 || load < idleNear && focus > 1 {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
-			w := 1 / (slow * slow * slow)
+			w := 1 / (slow * slow * slow * (1 + load))
 			// Departure: spread over all, a key is new to most backends it meets. Among idle ones the few
 			// nearest to it, the same at every agent, serve it for less work.
+			w *= near
 			if d := t.distance(r.key); b.s.WarmKeys && r.key != 0 {
-				w /= d * d
+				w *= near / (d * d) // or the nearest to a key of all zones would outdo it
 			}
 			if notes {
 				w *= slow * slow // all know the same: the cube would send all to the same few
@@ -62,9 +69,6 @@
 			}
 			if calm { // where it is crowded a cold one's budget keeps it to its part
 				w *= b.sure(t)
-				if t.Zone != b.s.Zone && b.s.CrossZonePrice > 0 {
-					w *= crossBias
-				}
 			}
 			wide--
 			if total += w; b.rng.Float64()*total < w {
@@ -96,6 +100,50 @@
 	return b.pick(r)
 }
 
+// near is how readily an idle backend is chosen for where it is. The dearer the way the less, until answers from the
+// own zone take longer: then the others take over in step with that. Where crossing has no price all are near, and where
+// the limit was cut of late a backend that has met a key counts for more, wherever it is.
+func (b *Balancer) near(t *backend) float64 {
+	price, least := b.price(t.Zone), cmp.Or(b.s.CrossZonePrice, b.s.CrossRegionPrice)
+	if price == 0 || !b.easy() {
+		return 1
+	}
+	bias := crossBias * least / price
+	return bias + (1-bias)*b.spill(b.zone(t))
+}
+
+func (b *Balancer) easy() bool { return float64(b.now-b.cutAt) > nearAfter*float64(b.period) }
+
+// spill is 0 as long as answers from the own zone take no longer than from another one, and 1 from spillAt on.
+func (b *Balancer) spill(z *zone) float64 {
+	if b.s.Zone < 0 || b.s.Zone >= len(b.zones) || b.zones[b.s.Zone].pace == 0 || z.pace == 0 {
+		return 0
+	}
+	return min(max((b.zones[b.s.Zone].pace/z.pace-1)/spillAt, 0), 1)
+}
+
+// focus is by how much fewer agents mean to send to a backend than there are: those of its zone, where crossing has a
+// price and no other zone is so much faster that it takes as much. There one attempt does not yet send the next one
+// over the border. 1: all of them.
+func (b *Balancer) focus(t *backend) float64 {
+	full := func(z *zone) bool { return b.spill(z) == 1 }
+	if t.Zone != b.s.Zone || b.s.CrossZonePrice+b.s.CrossRegionPrice == 0 || !b.easy() || slices.ContainsFunc(b.zones, full) {
+		return 1
+	}
+	return float64(b.up) / float64(max(b.zone(t).up, 1))
+}
+
+// price is what sending to a zone costs.
+func (b *Balancer) price(zone int) float64 {
+	switch regions := b.s.Regions; {
+	case zone == b.s.Zone:
+		return 0
+	case zone >= 0 && zone < len(regions) && b.s.Zone >= 0 && b.s.Zone < len(regions) && regions[zone] != regions[b.s.Zone]:
+		return max(b.s.CrossZonePrice, b.s.CrossRegionPrice)
+	}
+	return b.s.CrossZonePrice
+}
+
 // width is how many idle backends a choice is made among: the first of this agent's own order
 // that may be used. Departure: an agent with little traffic, spread over all, would hear of each
 // backend once a day and open a connection for nearly every attempt. It keeps to so many that it
--- a/settings.go
+++ b/settings.go
@@ -23,6 +23,8 @@
 		return bad("ColdShare", s.ColdShare)
 	case !(s.FallMultiple >= 0):
 		return bad("FallMultiple", s.FallMultiple)
+	case !(s.CrossZonePrice >= 0 && s.CrossRegionPrice >= 0):
+		return bad("CrossZonePrice", []float64{s.CrossZonePrice, s.CrossRegionPrice})
 	case !(s.GoalWhole >= 0 && s.GoalWindow >= 0 && s.GoalClass >= 0):
 		return bad("Goal", []float64{s.GoalWhole, s.GoalWindow, s.GoalClass})
 	}
