Tell of a zone's loss while it is news, no longer

A word had no age: it was said for as long as the teller kept away (seenLost, zone.go). Now it is said within one longest aim of leaving; with the two for which a hearer heeds it, a word is never more than three old. The test fails without the bound.

--- a/zone.go
+++ b/zone.go
@@ -49,10 +49,11 @@
 	return nil
 }
 
-// seenLost names the zones that this agent left for what it saw itself, a bit each: hearsay is not passed on.
+// seenLost names the zones that this agent left of late for what it saw itself, a bit each: hearsay is not passed on,
+// and that a zone was lost a while ago says nothing of now, least of all to those who were cut off meanwhile.
 func (b *Balancer) seenLost() (lost uint16) {
 	for i, z := range b.zones[:min(len(b.zones), lostZones)] {
-		if z.left && z.seen {
+		if z.left && z.seen && b.now-z.since < b.period {
 			lost |= 1 << i
 		}
 	}
--- a/zones_test.go
+++ b/zones_test.go
@@ -264,7 +264,7 @@
 	}
 }
 
-// Who leaves a zone for what it saw tells peers at once.
+// Who leaves a zone for what it saw tells peers at once, and no longer than that is news.
 func TestLossIsTold(t *testing.T) {
 	z := newZoned(t, 3, func(s *brookferry.Settings) { s.Balancers, s.Peers = 4, true })
 	z.run(time.Second)
@@ -272,13 +272,20 @@
 	for len(z.turns) == 0 && z.now < 2*time.Hour {
 		z.run(5 * ms)
 	}
-	told := 0
-	for _, data := range z.told {
-		if len(data) == 11 && data[10] == 2 {
-			told++
+	tellings := func() (n int) {
+		for _, data := range z.told {
+			if len(data) == 11 && data[10] == 2 {
+				n++
+			}
 		}
+		return n
 	}
-	if told != 3 {
+	if told := tellings(); told != 3 {
 		t.Errorf("%d of three peers were told", told)
 	}
+	z.run(500 * ms) // more than the longest aim
+	z.told = nil
+	if z.run(time.Second); tellings() > 0 {
+		t.Error("old news is told")
+	}
 }
