--- a/limits.go
+++ b/limits.go
@@ -12,7 +12,7 @@
 	aimedDelay   = 0.35 // mean latency, as a share of the aim, above which less is kept in flight
 	aimedAlone   = 0.6  // the same for a thin agent without peers: full servers met by chance count as delay
 	limitCut     = 0.9  // one cut of the in-flight limit
-	limitGrow    = 6.0  // and its growth, in attempts per backend for each round of answers at no delay
+	limitGrow    = 4.0  // and its growth, in attempts per backend for as many answers as the mean spans, at no delay
 	thinPart     = 1.0  // an even part of the limit below this is kept by credit, not by counting
 	thinBurst    = 4.0  // mean requests that may go out ahead of the credit
 	thinMost     = 2.0  // what a first try brings at most, in its own work: retries need some too
@@ -147,7 +147,7 @@
 		b.cutAt = b.now
 	case b.delay < aimedDelay && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
 		left := 1 - b.delay/aimedDelay
-		b.perBack += limitGrow / b.limit() * left * left
+		b.perBack += limitGrow * weight * left * left // no faster than the delay is seen
 	}
 }
 
