--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -20,6 +20,7 @@
 
 	"brookferry/internal/lab/check"
 	"brookferry/internal/lab/scenario"
+	"brookferry/internal/lab/world"
 )
 
 // patience is how long a test waits for what must come: far more than it takes anywhere.
@@ -187,6 +188,29 @@
 	}
 }
 
+// A machine that falls silent and is back before discovery knows is never told to be gone.
+func TestOvertakenNewsIsNotTold(t *testing.T) {
+	l, err := New(options(t, "real", small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	h := l.hosts[0]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h.m.Leave(0, world.Silent)
+	l.disc.learn(0, h, "gone", scenario.Range{5, 5})
+	h.m.Start(time.Second)
+	l.disc.learn(time.Second, h, "ready", scenario.Range{0.5, 0.5})
+	l.turn(20 * time.Second)
+	for _, m := range l.disc.known(l.agents[0], 20*time.Second).Servers {
+		if m.ID == h.m.ID && m.State == "ready" && m.Started > 0 {
+			return
+		}
+	}
+	t.Error("it is not in the list as ready again")
+}
+
 // The kernel's table is read as it is written.
 func TestOpenings(t *testing.T) {
 	table := `  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode
