--- a/picking.go
+++ b/picking.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 )
 
 const (
@@ -14,7 +13,6 @@
 	widthLeast  = 3   // idle backends at least among which a choice is made
 	crossBias   = 0.1 // chance of an idle backend in another zone, if crossing is priced ...
 	spillAt     = 0.3 // ... and answers from the own zone take no longer; from so much longer on it has the same
-	idleNear    = 2.0 // attempts at a backend of the own zone from which on it is not idle
 	nearAfter   = 4.0 // longest aims since the limit was cut from which on distance counts
 	strikesBias = 0.1 // chance of an idle backend that has not healed yet
 )
@@ -34,9 +32,8 @@
 		if closed != nil && closed[max(t.Zone, 0)] {
 			continue
 		}
-		focus := b.focus(t)
 		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
-			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share*focus) || !b.coldRoom(t, r) {
+			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share) || !b.coldRoom(t, r) {
 			continue
 		}
 		if !b.healthy(t, r) {
@@ -51,10 +48,10 @@
 		}
 		slow := b.slowness(t) * *b.fit(t, r.class)
 		near := b.near(t)
-		if load < 1 || load < idleNear && focus > 1 {
+		if load < 1 {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
-			w := 1 / (slow * slow * slow * (1 + load))
+			w := 1 / (slow * slow * slow)
 			// Departure: spread over all, a key is new to most backends it meets. Among idle ones the few
 			// nearest to it, the same at every agent, serve it for less work.
 			w *= near
@@ -122,17 +119,6 @@
 	return min(max((b.zones[b.s.Zone].pace/z.pace-1)/spillAt, 0), 1)
 }
 
-// focus is by how much fewer agents mean to send to a backend than there are: those of its zone, where crossing has a
-// price and no other zone is so much faster that it takes as much. There one attempt does not yet send the next one
-// over the border. 1: all of them.
-func (b *Balancer) focus(t *backend) float64 {
-	full := func(z *zone) bool { return b.spill(z) == 1 }
-	if t.Zone != b.s.Zone || b.s.CrossZonePrice+b.s.CrossRegionPrice == 0 || !b.easy() || slices.ContainsFunc(b.zones, full) {
-		return 1
-	}
-	return float64(b.up) / float64(max(b.zone(t).up, 1))
-}
-
 // price is what sending to a zone costs.
 func (b *Balancer) price(zone int) float64 {
 	switch regions := b.s.Regions; {
