Read lists as a stream of values, and reopen silent watches by one clock

Cause: discovery.go took one line for one value, so that an indented list ended each watch with "unexpected end of JSON input" and every request was refused. A silent watch was found out after 4.5 s, and a reopening that hung took as long again: what it missed counts as told after 6 s.

Change: discovery is a room of its own. Each watch is one task over a json.Decoder, every byte a sign of life, one value bounded by 4 MB, a bad one ends the watch and the next asks for the whole list. Where lists are pushed silence counts after 3 s, a further opening is begun beside one that hangs for 0.4 s, and waits after failures stay under 0.4 s (cenkalti/backoff: a kept module with full jitter, in place of a formula). Where lists are asked for, the module's waits hold as before.

Seen: a property test on told time over outages, silent watches, openings that hang and refused connections; it fails with hangs of 4 s, silence of 6 s or waits of 4 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,7 +3,7 @@
 // requests: it neither picks backends nor retries, holds or refuses.
 //
 // The loop (loop.go) owns the module; the front (front.go) serves clients, backends.go makes
-// attempts, stream.go passes large bodies and answers through, discovery.go follows the list, peers.go
+// attempts, stream.go passes large bodies and answers through, discovery follows the list, peers.go
 // exchanges datagrams with other agents, admin.go takes operators' calls, and handover.go tells the
 // next process what it must know.
 package agent
@@ -17,6 +17,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/discovery"
 )
 
 // Agent is one agent, ready to run.
@@ -26,7 +27,7 @@
 	loop      *loop
 	front     *front
 	backends  *backends
-	discovery *discovery
+	discovery *discovery.Follower
 	admin     *admin    // nil: operators have no door
 	handover  *handover // nil: this process has no successor
 	listener  *limitListener
@@ -55,8 +56,11 @@
 	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
 		return nil, err
 	}
-	a.discovery = newDiscovery(cfg, ck, a.loop.post, log)
-	a.loop.watch = a.discovery.subscribe
+	a.discovery = discovery.New(discovery.Config{
+		Translator: discovery.Translator{Zones: cfg.Site.Zones, Kinds: cfg.Site.Kinds, At: ck.at, Log: log},
+		Addr:       cfg.Discovery, Asked: cfg.Settings.Subscribe, ConnectTimeout: cfg.Settings.ConnectTimeout,
+		Post: func(u discovery.Update) { a.loop.post(u) }})
+	a.loop.watch = a.discovery.Subscribe
 	if cfg.Settings.Peers {
 		if a.loop.peers, err = newPeers(cfg, log); err != nil {
 			return nil, err
@@ -104,9 +108,9 @@
 func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
 
 // Follow has the agent watch discovery at another address.
-func (a *Agent) Follow(discovery string) {
-	a.log.Info("discovery has moved", "address", discovery)
-	a.discovery.move(discovery)
+func (a *Agent) Follow(addr string) {
+	a.log.Info("discovery has moved", "address", addr)
+	a.discovery.Move(addr)
 }
 
 // Run serves until stop ends, then finishes what was taken and returns.
@@ -120,13 +124,13 @@
 		a.inherit()
 	}
 	if a.cfg.Known != nil && len(a.cfg.Known.Servers) > 0 {
-		a.loop.take(a.discovery.start(a.cfg.Known))
+		a.loop.take(a.discovery.Known(a.cfg.Known))
 	} else {
-		a.loop.take(listEvent{list: brookferry.List{Kind: brookferry.ListCached}}) // the module asks after it
+		a.loop.take(discovery.Update{List: brookferry.List{Kind: brookferry.ListCached}}) // the module asks after it
 	}
 	known := len(a.backends.addrs) // from here on the loop owns the list
 	running.Go(func() { a.loop.run(ctx) })
-	running.Go(func() { a.discovery.run(ctx) })
+	running.Go(func() { a.discovery.Run(ctx) })
 	running.Go(func() { a.backends.reap(ctx) })
 	heard, deaf := context.WithCancel(ctx)
 	defer deaf()
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/discovery"
 	"brookferry/internal/wire"
 )
 
@@ -139,18 +140,18 @@
 
 // update takes a change of the list. Connections to a backend that is gone or has moved are
 // closed: under its new address another process answers.
-func (b *backends) update(e listEvent) {
+func (b *backends) update(e discovery.Update) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e.list.Kind != brookferry.ListDelta && e.list.Kind != brookferry.ListFailed {
+	if e.List.Kind != brookferry.ListDelta && e.List.Kind != brookferry.ListFailed {
 		for id := range b.addrs {
-			if _, listed := e.addrs[id]; !listed {
+			if _, listed := e.Addrs[id]; !listed {
 				b.forget(id)
 			}
 		}
 	}
-	for _, m := range e.list.Backends {
-		addr, ok := e.addrs[m.ID]
+	for _, m := range e.List.Backends {
+		addr, ok := e.Addrs[m.ID]
 		if !ok || b.addrs[m.ID] != addr {
 			b.forget(m.ID)
 		}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/discovery"
 	"brookferry/internal/wire"
 )
 
@@ -28,8 +29,8 @@
 	MemoryMB   int
 	Sockets    int // file descriptors that the process may hold
 	PeerListen string
-	Peers      []string // addresses by agent number
-	Known      *members // the list of backends as last stored; may be absent
+	Peers      []string           // addresses by agent number
+	Known      *discovery.Members // the list of backends as last stored; may be absent
 
 	Settings brookferry.Settings
 	Site     wire.Site
@@ -98,7 +99,7 @@
 		Mgmt       string
 		PeerListen string `json:"peer_listen"`
 		Peers      []string
-		Known      *members
+		Known      *discovery.Members
 		Settings   json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &f); err != nil {
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/discovery"
 )
 
 // handover is what two processes of one agent know of each other, while the platform replaces one
@@ -46,7 +47,7 @@
 	Attached map[string]int64   `json:"attached"` // and those called back since
 	Lame     bool               `json:"lame"`
 	From     string             `json:"from"` // discovery, that told the list
-	List     *members           `json:"list"`
+	List     *discovery.Members `json:"list"`
 	Legacy   *brookferry.Legacy `json:"legacy"`
 }
 
@@ -226,7 +227,7 @@
 }
 
 // saveList records the list as discovery has told it by now.
-func (h *handover) saveList(from string, list *members) {
+func (h *handover) saveList(from string, list *discovery.Members) {
 	if err := h.change(func(r *record) {
 		if r.Turn == h.turn || r.List == nil || r.From == from && r.List.Version < list.Version {
 			r.From, r.List = from, list
@@ -287,7 +288,7 @@
 	if a.admin != nil {
 		a.admin.record = a.handover.keep
 	}
-	a.discovery.record = a.handover.saveList
+	a.discovery.Record = a.handover.saveList
 	a.loop.handOn = a.handover.offer
 	if !a.handover.alone {
 		a.listener.reserve(a.halfOfAccepts())
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/discovery"
 )
 
 // clock is the agent's monotonic clock. It does not start at zero, so that backends that started
@@ -57,7 +58,7 @@
 	duplicate  bool // failed: another request with this id is open
 }
 
-// What is posted to the loop, besides listEvent and the module's own ProbeResult and PeerMessage.
+// What is posted to the loop, besides discovery.Update and the module's own ProbeResult and PeerMessage.
 type (
 	arrived struct{ *request }
 	left    struct{ *request } // the client hung up
@@ -328,10 +329,10 @@
 			l.pending = append(l.pending, brookferry.Abandoned{Request: e.id})
 			l.forget(e.request)
 		}
-	case listEvent:
+	case discovery.Update:
 		l.backends.update(e)
-		l.pending = append(l.pending, e.list)
-		if len(e.list.Backends) > 0 {
+		l.pending = append(l.pending, e.List)
+		if len(e.List.Backends) > 0 {
 			l.ready.Store(true)
 		}
 	case brookferry.ProbeResult:
