Add what agents of a fleet share: members, facts with ages, turns, round trips, policies

Need: agents exchange short notes without knowing who is alive, how old a word may be, or whether their parts of the limit sum up; hundreds that start at once run over a list service; sites' distances and tenants' regions are known to nobody.

Change: internal/fleet, one task for each connection and peer. member drives hashicorp/memberlist v0.5.3 (SWIM with Lifeguard: suspicion and refutation are where own protocols go wrong); fact is a store whose ages are sums of monotonic spans, with the way of each message measured against its sender's quickest; CBOR by fxamacker/cbor (versioned, unknown fields skipped); start draws turns at the list service; distance measures round trips, a median over observers; relay.go hands lists and policies on. internal/residency holds the policy. docs/fleet.md is revised to this form. Nothing of it is linked into `run` besides residency/gate, a table without dependencies.

--- /dev/null
+++ b/internal/fleet/fact/export_test.go
@@ -0,0 +1,5 @@
+package fact
+
+import "github.com/fxamacker/cbor/v2"
+
+func decoderTest(v any) ([]byte, error) { return cbor.Marshal(v) }
--- /dev/null
+++ b/internal/fleet/fact/store.go
@@ -0,0 +1,301 @@
+// Package fact keeps what the processes of a fleet know together: facts, each with its observer and its age.
+//
+// An age is a sum of monotonic spans: the observer's since it saw, each keeper's since it heard, and what the message
+// took beyond the quickest one of its sender (transit.go). No wall clock is read. Nothing is used past its bound, and a
+// process that was stopped drops what it held.
+package fact
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Kind is what a fact is about.
+type Kind uint8
+
+const (
+	Service   Kind = 1 + iota // the load of the list service, as one who called it saw it
+	Distance                  // round trips from a site to the others
+	Residency                 // the version of the residency policy that its source holds
+	Gone                      // processes whose machine refuses connections: dead for certain
+)
+
+var kindNames = map[Kind]string{Service: "service", Distance: "distance", Residency: "residency", Gone: "gone"}
+
+func (k Kind) String() string {
+	return cmp.Or(kindNames[k], "kind "+strconv.Itoa(int(k)))
+}
+
+// Bounds is how old a fact of each kind may be when it is used. A kind that is not named is never used.
+type Bounds map[Kind]time.Duration
+
+// DefaultBounds are long enough for a fact that is told anew every second to be missed twice on its way.
+var DefaultBounds = Bounds{
+	// A service that was overrun is asked again a little later at the latest; older words would hold everyone back.
+	Service: 5 * time.Second,
+	// Rows are told each second. A link that has changed has to show within 3 s.
+	Distance: 3 * time.Second,
+	// The policy's own bound goes before this one; it says how long a version may take to get round.
+	Residency: 10 * time.Second,
+	// Told each second while it holds. Whoever starts again may have its part back that much later.
+	Gone: 3 * time.Second,
+}
+
+const (
+	// TickEvery is how often Tick is due. A process that did not get to it for stoppedAfter was stopped, or starved:
+	// what it holds may be older than it looks to others, and what lies in its sockets is.
+	TickEvery    = 100 * time.Millisecond
+	stoppedAfter = time.Second
+	deafFor      = 500 * time.Millisecond // until its sockets are drained
+	mostHeld     = 20000                  // facts: about 4 MB
+	sendsFactor  = 3                      // a fact is passed on so many times the log of the fleet's size
+)
+
+type key struct {
+	kind              Kind
+	subject, observer string
+}
+
+type held struct {
+	Fact
+	at    time.Time // when its age was that of Fact
+	sends int
+}
+
+// Use is one use of a fact, as told to a trace.
+type Use struct {
+	Fact
+	Now time.Duration // its age then
+}
+
+// Store holds facts. Its methods may be called from any task.
+type Store struct {
+	self        string
+	incarnation uint64
+	bounds      Bounds
+	trace       func(Use)
+
+	mu      sync.Mutex
+	born    time.Time
+	ticked  time.Time
+	deaf    time.Time // nothing is heard and nothing said before it
+	mute    bool      // nothing was heard since the last stop
+	facts   map[key]*held
+	seqs    map[key]uint64
+	transit transit
+	stops   int
+	bad     int
+	ages    map[Kind]*hdrhistogram.Histogram // ms, at use
+	refused map[Kind]int                     // too old to use, or to take in
+}
+
+// New returns an empty store of the process that self and incarnation name. trace, which may be nil, is told of each
+// use, and of each fact of this process's own with age 0.
+func New(self string, incarnation uint64, bounds Bounds, trace func(Use)) *Store {
+	now := time.Now()
+	if trace == nil {
+		trace = func(Use) {}
+	}
+	return &Store{self: self, incarnation: incarnation, bounds: bounds, trace: trace, born: now, ticked: now,
+		facts: map[key]*held{}, seqs: map[key]uint64{}, transit: transit{from: map[string]*offset{}},
+		ages: map[Kind]*hdrhistogram.Histogram{}, refused: map[Kind]int{}}
+}
+
+// Tick is called each TickEvery: that it was not tells of a stop.
+func (s *Store) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.wake(now)
+	s.ticked = now
+	for k, h := range s.facts {
+		if h.age(now) > s.bounds[k.kind] {
+			delete(s.facts, k)
+		}
+	}
+}
+
+// wake drops everything if the process was stopped up to now, and reports whether it hears. The lock is held.
+func (s *Store) wake(now time.Time) bool {
+	if now.Sub(s.ticked) > stoppedAfter {
+		clear(s.facts)
+		s.stops++
+		s.ticked, s.deaf, s.mute = now, now.Add(deafFor), true
+	}
+	return !now.Before(s.deaf)
+}
+
+func (h *held) age(now time.Time) time.Duration { return h.Age + now.Sub(h.at) }
+
+// Tell takes what this process itself has seen just now.
+func (s *Store) Tell(kind Kind, subject string, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.wake(now)
+	k := key{kind, subject, s.self}
+	s.seqs[k]++
+	f := Fact{Kind: kind, Subject: subject, Observer: s.self, Incarnation: s.incarnation, Seq: s.seqs[k], Body: slices.Clone(body)}
+	s.facts[k] = &held{Fact: f, at: now}
+	s.trace(Use{Fact: f})
+}
+
+// Hear takes a message that came now. What is in it of this process's own name is its own echo, or another process's
+// with the same name, and is passed over.
+func (s *Store) Hear(data []byte) error {
+	m, err := Decode(data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		s.bad++
+		return err
+	}
+	if !s.wake(now) || m.Sender == s.self {
+		return nil
+	}
+	way := s.transit.way(m, now, now.Sub(s.born))
+	s.mute = false
+	for _, f := range m.Facts {
+		f.Age += way
+		if f.Observer == s.self {
+			continue
+		}
+		if f.Age > s.bounds[f.Kind] {
+			s.refused[f.Kind]++
+			continue
+		}
+		k := key{f.Kind, f.Subject, f.Observer}
+		old := s.facts[k]
+		if old == nil && len(s.facts) >= mostHeld {
+			s.refused[f.Kind]++
+			continue
+		}
+		if old != nil {
+			if order := cmp.Or(cmp.Compare(f.Incarnation, old.Incarnation), cmp.Compare(f.Seq, old.Seq)); order < 0 ||
+				order == 0 && f.Age >= old.age(now) {
+				continue
+			} else if order == 0 { // the same by a quicker way: it has been passed on
+				old.Age, old.at = f.Age, now
+				continue
+			}
+		}
+		s.facts[k] = &held{Fact: f, at: now}
+	}
+	return nil
+}
+
+// Now returns the facts of a kind that may be used now, by subject and observer, each with its age.
+func (s *Store) Now(kind Kind) (list []Fact) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.wake(now) {
+		return nil
+	}
+	for k, h := range s.facts {
+		if k.kind != kind {
+			continue
+		}
+		f := h.Fact
+		if f.Age = h.age(now); f.Age > s.bounds[kind] {
+			s.refused[kind]++
+			continue
+		}
+		ages := s.ages[kind]
+		if ages == nil {
+			ages = hdrhistogram.New(1, int64(maxAge/time.Millisecond), 2)
+			s.ages[kind] = ages
+		}
+		_ = ages.RecordValue(max(1, f.Age.Milliseconds())) // below its bound, and so within the range
+		s.trace(Use{Fact: h.Fact, Now: f.Age})
+		list = append(list, f)
+	}
+	slices.SortFunc(list, func(a, b Fact) int {
+		return cmp.Or(cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Observer, b.Observer))
+	})
+	return list
+}
+
+// Gossip writes a message of up to limit bytes for one of a fleet of so many: what was passed on least often goes
+// first, and nothing more often than a few times the logarithm of the fleet's size. nil: there is nothing to say.
+func (s *Store) Gossip(limit, members int) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.wake(now) || s.mute {
+		return nil
+	}
+	times := int(math.Ceil(math.Log10(float64(members) + 1)))
+	var due []*held
+	for k, h := range s.facts {
+		most := sendsFactor * times
+		if k.kind == Distance {
+			most = times // it is told anew each second by several: that one is missed does no harm
+		}
+		if h.sends < most && h.age(now) <= s.bounds[k.kind] {
+			due = append(due, h)
+		}
+	}
+	slices.SortFunc(due, func(a, b *held) int {
+		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Observer, b.Observer))
+	})
+	m := Message{Version: Version, Sender: s.self, Incarnation: s.incarnation, Clock: now.Sub(s.born)}
+	size := 40 + len(s.self) // more than what is around the facts takes
+	for _, h := range due {
+		if size += 48 + len(h.Subject) + len(h.Observer) + len(h.Body); size > limit || len(m.Facts) == maxFacts {
+			break
+		}
+		f := h.Fact
+		f.Age = h.age(now)
+		m.Facts = append(m.Facts, f)
+		h.sends++
+	}
+	if len(m.Facts) == 0 {
+		return nil
+	}
+	data, err := Encode(&m)
+	if err != nil {
+		panic(err) // it holds numbers and bytes alone
+	}
+	return data
+}
+
+// Stats is what a store has seen.
+type Stats struct {
+	Held, Stops, Malformed int
+	Kinds                  map[string]KindStats
+}
+
+// KindStats is how facts of a kind were used: ages in ms.
+type KindStats struct {
+	Used          int64
+	Refused       int
+	P50, P99, Max int64
+}
+
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Held: len(s.facts), Stops: s.stops, Malformed: s.bad, Kinds: map[string]KindStats{}}
+	for _, k := range slices.Sorted(maps.Keys(s.bounds)) {
+		ks := KindStats{Refused: s.refused[k]}
+		if h := s.ages[k]; h != nil {
+			ks.Used, ks.P50, ks.P99, ks.Max = h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max()
+		}
+		st.Kinds[k.String()] = ks
+	}
+	return st
+}
+
+func (k KindStats) String() string {
+	return fmt.Sprintf("used %d, refused %d, age ms p50 %d p99 %d max %d", k.Used, k.Refused, k.P50, k.P99, k.Max)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,367 @@
+// Package fleet is what an agent shares with the others of its fleet: who is there (member), what they know together
+// and how old that is (fact), whose turn it is at the list service (start), how far sites are from each other
+// (distance), which part of the in-flight limit is whose, and which residency policy is in force.
+//
+// Each of these is a task of its own, written straight down. An agent serves without any of them: nothing on a
+// request's path waits here, and what is told to the agent has an age and a bound.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"brookferry/internal/fleet/distance"
+	"brookferry/internal/fleet/fact"
+	"brookferry/internal/fleet/member"
+	"brookferry/internal/fleet/start"
+	"brookferry/internal/residency"
+)
+
+// Config is a process's place in its fleet.
+type Config struct {
+	Name, Site, Version string
+	Listen, Advertise   string   // addresses, UDP and TCP; Advertise may be ""
+	Seeds               []string // addresses
+	Label               string
+	Most                int // most processes that the fleet has
+	Bounds              fact.Bounds
+	Relayed             bool    // lists come by way of a few members of a site
+	ListRate            float64 // calls a second that the list service is taken to bear at first
+	Matrix              bool    // round trips are measured, and told
+	Log                 *slog.Logger
+	Trace               io.Writer // a line for each fact used or told, and for each part taken; nil: none
+
+	Residency *residency.Holder // nil: none
+	Source    bool              // of the residency policy
+}
+
+// Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
+type Told struct {
+	Part      func(part float64)                         // of the fleet's in-flight limit, from 0 to 1
+	Distances func(trip []time.Duration, loss []float64) // from this site to each zone; 0: not known, the loss too
+}
+
+// Fleet is a process's place in its fleet. It must be run.
+type Fleet struct {
+	cfg    Config
+	told   Told
+	zones  []string
+	facts  *fact.Store
+	list   *member.List
+	prober *distance.Prober
+	pacer  *start.Pacer
+	relay  *relay
+	turn   chan struct{} // who is there has changed, at most one waiting
+	born   time.Time
+	gossip atomic.Int64 // bytes
+
+	mu      sync.Mutex
+	met     time.Time // when anyone was first met
+	part    float64
+	trips   []time.Duration
+	losses  []float64
+	matrix  distance.Matrix
+	ready   bool
+	fetched map[string]time.Time // policies asked for, by digest
+}
+
+// New listens. zones are the sites, in the order in which the module counts them.
+func New(cfg Config, zones []string, told Told) (*Fleet, error) {
+	listen, err := netip.ParseAddrPort(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	var advertise netip.AddrPort
+	if cfg.Advertise != "" {
+		if advertise, err = netip.ParseAddrPort(cfg.Advertise); err != nil {
+			return nil, fmt.Errorf("fleet.advertise: %w", err)
+		}
+	}
+	if cfg.Bounds == nil {
+		cfg.Bounds = fact.DefaultBounds
+	}
+	f := &Fleet{cfg: cfg, told: told, zones: zones, turn: make(chan struct{}, 1), born: time.Now(), part: -1, fetched: map[string]time.Time{}}
+	incarnation := uint64(time.Now().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
+	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
+	f.relay = newRelay(f)
+	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most,
+		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation}, Log: cfg.Log,
+		Hear: func(data []byte) {
+			if err := f.facts.Hear(data); err != nil {
+				cfg.Log.Debug("a message of the fleet makes no sense", "error", err)
+			}
+		},
+		Gossip: func(limit, members int) []byte {
+			data := f.facts.Gossip(limit, members)
+			f.gossip.Add(int64(len(data)))
+			return data
+		},
+		Turn: func() {
+			select {
+			case f.turn <- struct{}{}:
+			default:
+			}
+		},
+		Probe: func(data []byte, from netip.AddrPort, at time.Time) { f.prober.Heard(data, from, at) },
+		Call:  f.relay.serve,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.prober = distance.New(distance.Config{Self: cfg.Name, Site: cfg.Site, Label: cfg.Label, Alive: f.list.Alive, Write: f.list.Write, Facts: f.facts})
+	f.pacer = start.New(start.Config{Rate: cfg.ListRate, Starters: f.starters, Met: func() bool { return f.list.Met() > 0 }, Facts: f.facts})
+	return f, nil
+}
+
+// Addr is where others reach this process.
+func (f *Fleet) Addr() string { return f.list.Addr().String() }
+
+// Run stays in the fleet until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	tasks.Go(func() { f.tick(ctx) })
+	tasks.Go(func() { f.bury(ctx) })
+	tasks.Go(func() { f.relay.run(ctx) })
+	if f.cfg.Matrix {
+		tasks.Go(func() { f.prober.Run(ctx) })
+	}
+	if f.cfg.Residency != nil {
+		tasks.Go(func() { f.shareResidency(ctx) })
+	}
+	err := f.list.Run(ctx)
+	if ctx.Err() == nil && err == nil { // it left for another with its name
+		<-ctx.Done()
+	}
+	return err
+}
+
+// Ready tells the others that this process has a list, and serves.
+func (f *Fleet) Ready() {
+	f.mu.Lock()
+	was := f.ready
+	f.ready = true
+	f.mu.Unlock()
+	if !was {
+		f.list.Reached(member.Serving)
+		f.cfg.Log.Info("start", "step", "serving", "members", len(f.list.Alive()), "took", time.Since(f.born))
+	}
+}
+
+// starters counts who is seen to start, this process included.
+func (f *Fleet) starters() (n int) {
+	for _, m := range f.list.Alive() {
+		if m.Phase == member.Starting {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+const summaryEvery = 10 * time.Second
+
+// tick keeps ages, and what follows from who is there and what is known.
+func (f *Fleet) tick(ctx context.Context) {
+	tick := time.NewTicker(fact.TickEvery)
+	defer tick.Stop()
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-summary.C:
+			f.summarize()
+		case <-f.turn:
+		case <-tick.C:
+		}
+		f.facts.Tick()
+		f.reckon()
+		if f.cfg.Matrix && n%2 == 0 {
+			f.measure()
+		}
+	}
+}
+
+// measure tells the agent how far the sites are, where that has changed.
+func (f *Fleet) measure() {
+	m := distance.Make(f.facts.Now(fact.Distance), f.list.Alive())
+	trips, losses := make([]time.Duration, len(f.zones)), make([]float64, len(f.zones))
+	for i, zone := range f.zones {
+		if e, known := m.Of(f.cfg.Site, zone); known {
+			trips[i], losses[i] = e.Trip, e.Loss
+		}
+	}
+	f.mu.Lock()
+	f.matrix = m
+	same := slices.Equal(trips, f.trips) && slices.Equal(losses, f.losses)
+	f.trips, f.losses = trips, losses
+	f.mu.Unlock()
+	if f.cfg.Trace != nil {
+		f.trace(map[string]any{"matrix": matrixLine(m)})
+	}
+	if !same && f.told.Distances != nil {
+		f.told.Distances(trips, losses)
+	}
+}
+
+func matrixLine(m distance.Matrix) map[string]float64 {
+	line := map[string]float64{}
+	for p, e := range m {
+		line[p.A+" "+p.B] = float64(e.Trip.Microseconds())
+	}
+	return line
+}
+
+const (
+	// A starter takes a tenth of an even part until it can be sure that nobody uses its own: it has met others, who by
+	// then would have told that it counts as gone, or it has waited for as long as such a word holds.
+	thin       = 0.1
+	metFor     = 500 * time.Millisecond
+	buryEvery  = time.Second
+	buryWithin = 600 * time.Millisecond
+	buriers    = 2 // members that see to whether a failed one is dead
+)
+
+// reckon reckons this process's part of the in-flight limit. An even part belongs to each process that the fleet may
+// have, except those that are dead for certain: of these the others use it while a word no older than its bound says so.
+// Who is merely not heard keeps its part: it may be alive beyond a cut. So the sum of all parts stays within the limit.
+func (f *Fleet) reckon() {
+	alive := map[string]bool{}
+	for _, m := range f.list.Alive() {
+		alive[m.Name] = true
+	}
+	gone, me := map[string]bool{}, false
+	for _, g := range f.facts.Now(fact.Gone) {
+		var names []string
+		if cbor.Unmarshal(g.Body, &names) != nil {
+			continue
+		}
+		for _, name := range names {
+			if name == f.cfg.Name {
+				me = true
+			} else if !alive[name] {
+				gone[name] = true
+			}
+		}
+	}
+	now := time.Now()
+	f.mu.Lock()
+	if f.met.IsZero() && f.list.Met() > 0 {
+		f.met = now
+	}
+	sure := now.Sub(f.born) >= f.cfg.Bounds[fact.Gone] || !f.met.IsZero() && now.Sub(f.met) >= metFor && !me
+	part := thin / float64(f.cfg.Most)
+	if sure {
+		part = 1 / float64(max(1, len(alive), f.cfg.Most-len(gone)))
+	}
+	same := part == f.part
+	f.part = part
+	f.mu.Unlock()
+	if same {
+		return
+	}
+	f.trace(map[string]any{"part": part})
+	if f.told.Part != nil {
+		f.told.Part(part)
+	}
+}
+
+// bury sees to it that members that failed and whose machine refuses connections are told to be gone.
+func (f *Fleet) bury(ctx context.Context) {
+	tick := time.NewTicker(buryEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		doomed := f.list.Doomed(buriers)
+		dead := make([]bool, len(doomed))
+		var calls sync.WaitGroup
+		for i, m := range doomed {
+			calls.Go(func() { dead[i] = f.list.Dead(ctx, m, buryWithin) })
+		}
+		calls.Wait()
+		var names []string
+		for i, m := range doomed {
+			if dead[i] {
+				names = append(names, m.Name)
+			}
+		}
+		for i := 0; i < len(names); i += 64 { // so many fit into a fact
+			body, err := cbor.Marshal(names[i:min(len(names), i+64)])
+			if err != nil {
+				panic(err) // they are names alone
+			}
+			f.facts.Tell(fact.Gone, strconv.Itoa(i), body)
+		}
+	}
+}
+
+func (f *Fleet) summarize() {
+	st := f.facts.Stats()
+	f.mu.Lock()
+	part := f.part
+	f.mu.Unlock()
+	args := []any{"members", len(f.list.Alive()), "part", part, "facts", st.Held, "malformed", st.Malformed, "stops", st.Stops, "bytes", f.gossip.Swap(0)}
+	for kind, k := range st.Kinds {
+		if k.Used > 0 || k.Refused > 0 {
+			args = append(args, kind, k.String())
+		}
+	}
+	f.cfg.Log.Info("fleet", args...)
+}
+
+// traceUse writes a fact's use, or that it was told, with the time on the wall: for who checks ages from outside.
+func (f *Fleet) traceUse(u fact.Use) {
+	if f.cfg.Trace == nil {
+		return
+	}
+	what := "use"
+	if u.Observer == f.cfg.Name && u.Now == 0 {
+		what = "tell"
+	}
+	f.trace(map[string]any{"what": what, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
+		"incarnation": u.Incarnation, "seq": u.Seq, "age": u.Now.Microseconds()})
+}
+
+var traces sync.Mutex
+
+func (f *Fleet) trace(line map[string]any) {
+	if f.cfg.Trace == nil {
+		return
+	}
+	line["at"] = time.Now().UnixMicro()
+	data, err := json.Marshal(line)
+	if err != nil {
+		panic(err) // it holds names and numbers alone
+	}
+	traces.Lock()
+	defer traces.Unlock()
+	_, _ = f.cfg.Trace.Write(append(data, '\n'))
+}
+
+// named is the member of a name, if it is there.
+func (f *Fleet) named(name string) []member.Member {
+	for _, m := range f.list.Alive() {
+		if m.Name == name {
+			return []member.Member{m}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/member/member.go
@@ -0,0 +1,379 @@
+// Package member knows who is in the fleet: a driver over hashicorp/memberlist (SWIM with Lifeguard), which has
+// suspicion, refutation and incarnations right.
+package member
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+)
+
+// Phase is how far a process has come.
+type Phase uint8
+
+const (
+	Starting Phase = iota // it has no list from discovery yet
+	Serving
+)
+
+// Meta is what a member says of itself with its name.
+type Meta struct {
+	Site    string `cbor:"1,keyasint"` // its zone
+	Phase   Phase  `cbor:"2,keyasint"`
+	Version string `cbor:"3,keyasint"` // of the program
+	Started uint64 `cbor:"4,keyasint"` // which process of the name it is
+}
+
+// Member is one of the fleet, as known here.
+type Member struct {
+	Name string
+	Addr netip.AddrPort
+	Meta
+	Since time.Time // known here since then, by the monotonic clock
+}
+
+// Config is what a List needs.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort // UDP and TCP
+	Advertise netip.AddrPort // where others reach it; zero: Listen
+	Seeds     []string       // addresses of others
+	Label     string         // fleets of different labels never mix
+	Most      int            // most members that the fleet has
+	Meta      Meta
+	Log       *slog.Logger
+
+	Hear   func(data []byte)               // facts of another member
+	Gossip func(limit, members int) []byte // facts for another member; nil: none
+	Turn   func()                          // who is there has changed; must not wait
+	Probe  func(data []byte, from netip.AddrPort, at time.Time)
+	Call   func(net.Conn) // an HTTP call
+}
+
+// Facts of one packet. A memberlist packet holds more; less keeps a lossy way whole.
+const mostFacts = 1000
+
+// List is who is there. It must be run.
+type List struct {
+	cfg  Config
+	t    *transport
+	list *memberlist.Memberlist
+
+	mu       sync.Mutex
+	members  map[string]Member
+	dead     map[string]Member // failed without a goodbye, by name
+	met      int               // others ever met
+	phase    Phase
+	conflict bool // another process has this one's name
+	leave    chan struct{}
+}
+
+// New listens. It says nothing before Run.
+func New(cfg Config) (*List, error) {
+	t, err := newTransport(cfg.Listen, cfg.Advertise)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	t.probe, t.call = cfg.Probe, cfg.Call
+	return &List{cfg: cfg, t: t, members: map[string]Member{}, dead: map[string]Member{}, phase: cfg.Meta.Phase, leave: make(chan struct{})}, nil
+}
+
+// Addr is where others reach this member.
+func (l *List) Addr() netip.AddrPort { return l.t.advertise }
+
+// Write sends a datagram of round trips to another member.
+func (l *List) Write(data []byte, to netip.AddrPort) (time.Time, error) {
+	return l.t.WriteTo(data, to.String())
+}
+
+// Dial opens a stream to another member.
+func (l *List) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	return l.t.dialer.DialContext(ctx, "tcp", addr)
+}
+
+// settings scale with the fleet: a larger one probes no more for each member, and gives doubts more time.
+func (l *List) settings() *memberlist.Config {
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.Label, c.Delegate, c.Events, c.Conflict = l.cfg.Name, l.t, l.cfg.Label, (*delegate)(l), (*delegate)(l), (*delegate)(l)
+	c.BindPort, c.AdvertisePort = int(l.t.advertise.Port()), int(l.t.advertise.Port())
+	c.Logger = log.New(logLines{l.cfg.Log}, "", 0)
+	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = 500*time.Millisecond, 250*time.Millisecond, 3
+	c.GossipInterval, c.GossipNodes, c.GossipToTheDeadTime = 200*time.Millisecond, 3, 10*time.Second
+	c.TCPTimeout, c.PushPullInterval = 2*time.Second, 15*time.Second
+	c.DeadNodeReclaimTime = time.Millisecond // a restarted process may come back at another address
+	c.EnableCompression = false              // packets are small
+	if l.cfg.Most > 100 {
+		c.PushPullInterval = 30 * time.Second
+	}
+	return c
+}
+
+// Run joins the fleet and stays in it until ctx ends, and then says goodbye. Without anyone to be found it is alone,
+// and goes on asking.
+func (l *List) Run(ctx context.Context) error {
+	l.t.run()
+	list, err := memberlist.Create(l.settings())
+	if err != nil {
+		return errors.Join(err, l.t.Shutdown())
+	}
+	l.mu.Lock()
+	l.list = list
+	l.mu.Unlock()
+	waits := &backoff.ExponentialBackOff{InitialInterval: 100 * time.Millisecond, RandomizationFactor: 1, Multiplier: 2, MaxInterval: 4 * time.Second}
+	waits.Reset()
+	for gone := false; !gone; {
+		if to := l.missing(); len(to) > 0 {
+			if n, err := list.Join(to); n > 0 {
+				waits.Reset()
+			} else if err != nil {
+				l.cfg.Log.Debug("nobody was found", "asked", to, "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			gone = true
+		case <-l.leave:
+			l.cfg.Log.Error("another process has this one's name: it leaves the fleet and serves alone", "name", l.cfg.Name)
+			gone = true
+		case <-time.After(max(50*time.Millisecond, waits.NextBackOff())):
+		}
+	}
+	err = list.Leave(500 * time.Millisecond)
+	return errors.Join(err, list.Shutdown())
+}
+
+// missing is whom to ask now: a few seeds, or members that failed, who are not there. After a cut both sides have
+// forgotten each other, and a seed stands for the other side.
+func (l *List) missing() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	there := map[string]bool{l.t.advertise.String(): true}
+	for _, m := range l.members {
+		there[m.Addr.String()] = true
+	}
+	var list []string
+	for _, s := range l.cfg.Seeds {
+		if !there[s] {
+			list = append(list, s)
+		}
+	}
+	for _, m := range l.dead {
+		if addr := m.Addr.String(); !there[addr] && !slices.Contains(list, addr) {
+			list = append(list, addr)
+		}
+	}
+	slices.Sort(list)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), 3)]
+}
+
+// Alive are the members that are there, this one included, by name.
+func (l *List) Alive() []Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Member, 0, len(l.members)+1)
+	for _, m := range l.members {
+		list = append(list, m)
+	}
+	if _, self := l.members[l.cfg.Name]; !self {
+		list = append(list, l.selfLocked())
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (l *List) selfLocked() Member {
+	m := Member{Name: l.cfg.Name, Addr: l.t.advertise, Meta: l.cfg.Meta}
+	m.Phase = l.phase
+	return m
+}
+
+// Met is how many others this process has ever met.
+func (l *List) Met() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.met
+}
+
+// Reached tells the others how far this process has come.
+func (l *List) Reached(p Phase) {
+	l.mu.Lock()
+	list, same := l.list, l.phase == p
+	l.phase = p
+	l.mu.Unlock()
+	if list != nil && !same {
+		go func() { _ = list.UpdateNode(2 * time.Second) }() // others learn with the next exchange if it fails
+	}
+}
+
+// Doomed are the members that failed without a goodbye and of which this one is among the few that see to whether
+// they are dead: chosen by rendezvous, the same at every member.
+func (l *List) Doomed(few int) (list []Member) {
+	alive := l.Alive()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.dead {
+		if rank(m.Name, l.cfg.Name, alive) < few {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// rank is the place of a member in the order in which members serve a subject.
+func rank(subject, name string, alive []Member) (n int) {
+	mine := Score(subject, name)
+	for _, m := range alive {
+		if m.Name != name && Score(subject, m.Name) < mine {
+			n++
+		}
+	}
+	return n
+}
+
+// Score orders members for a subject, evenly and the same at every member: the lowest are chosen.
+func Score(subject, name string) uint64 { return xxhash.Sum64String(subject + "\x00" + name) }
+
+// Dead reports whether the process that had an address is gone for certain: its machine refuses connections, or
+// resets one. Silence proves nothing: the way may be cut.
+func (l *List) Dead(ctx context.Context, m Member, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c, err := l.Dial(ctx, "tcp", m.Addr.String())
+	if err == nil {
+		defer c.Close()
+		_ = c.SetReadDeadline(time.Now().Add(within / 2)) // closed already if it fails
+		_, err = c.Read(make([]byte, 1))
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// delegate is a List in memberlist's terms.
+type delegate List
+
+func (d *delegate) NodeMeta(limit int) []byte {
+	l := (*List)(d)
+	l.mu.Lock()
+	meta := l.selfLocked().Meta
+	l.mu.Unlock()
+	data, err := cbor.Marshal(meta)
+	if err != nil || len(data) > limit {
+		return nil
+	}
+	return data
+}
+
+func (d *delegate) NotifyMsg(data []byte) { d.cfg.Hear(data) }
+
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	l := (*List)(d)
+	l.mu.Lock()
+	n := len(l.members)
+	l.mu.Unlock()
+	if n < 2 {
+		return nil // nobody would hear it
+	}
+	if data := d.cfg.Gossip(min(mostFacts, limit-overhead), n); data != nil {
+		return [][]byte{data}
+	}
+	return nil
+}
+
+func (d *delegate) LocalState(bool) []byte        { return nil }
+func (d *delegate) MergeRemoteState([]byte, bool) {}
+
+func (l *List) read(n *memberlist.Node) (Member, bool) {
+	m := Member{Name: n.Name, Since: time.Now()}
+	ip, ok := netip.AddrFromSlice(n.Addr)
+	if !ok {
+		return m, false
+	}
+	m.Addr = netip.AddrPortFrom(ip.Unmap(), n.Port)
+	if cbor.Unmarshal(n.Meta, &m.Meta) != nil {
+		m.Meta = Meta{} // of a form that is not known here: it is there all the same
+	}
+	return m, true
+}
+
+func (d *delegate) NotifyJoin(n *memberlist.Node) {
+	l := (*List)(d)
+	m, ok := l.read(n)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	l.members[m.Name] = m
+	delete(l.dead, m.Name)
+	if m.Name != l.cfg.Name {
+		l.met++
+	}
+	l.mu.Unlock()
+	l.cfg.Turn()
+}
+
+func (d *delegate) NotifyUpdate(n *memberlist.Node) {
+	l := (*List)(d)
+	m, ok := l.read(n)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	if old, known := l.members[m.Name]; known && old.Started == m.Started {
+		m.Since = old.Since
+	}
+	l.members[m.Name] = m
+	l.mu.Unlock()
+	l.cfg.Turn()
+}
+
+func (d *delegate) NotifyLeave(n *memberlist.Node) {
+	l := (*List)(d)
+	l.mu.Lock()
+	m, known := l.members[n.Name]
+	delete(l.members, n.Name)
+	if known && n.State != memberlist.StateLeft {
+		l.dead[n.Name] = m
+	}
+	l.mu.Unlock()
+	l.cfg.Turn()
+}
+
+// NotifyConflict has the one of two processes with one name leave that has the higher address.
+func (d *delegate) NotifyConflict(existing, other *memberlist.Node) {
+	l := (*List)(d)
+	if existing.Name != l.cfg.Name {
+		return
+	}
+	m, ok := l.read(other)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok && !l.conflict && m.Addr.Compare(l.t.advertise) < 0 {
+		l.conflict = true
+		close(l.leave)
+	}
+}
+
+// logLines has memberlist's log go where ours goes. What it warns of is its daily work.
+type logLines struct{ log *slog.Logger }
+
+func (w logLines) Write(p []byte) (int, error) {
+	w.log.Debug("memberlist", "line", string(bytes.TrimSpace(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/fleet/member/transport.go
@@ -0,0 +1,193 @@
+package member
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	// First bytes that tell others' words from the membership's on the same address: its messages begin with small
+	// numbers or, labelled, with 244.
+	ProbeByte = 0xd7 // a datagram of round trips
+	callByte  = 'G'  // a stream that is an HTTP call
+
+	mostDatagram = 64 << 10
+	mostUnread   = 64              // streams of which the first byte has not come yet
+	firstWithin  = 3 * time.Second // it has to
+	socketBuffer = 1 << 20
+)
+
+// transport carries the membership's packets and streams over one address, UDP and TCP, and hands out what is not its.
+// Each connection that comes in is one task until it is known whose it is.
+type transport struct {
+	advertise netip.AddrPort
+	udp       *net.UDPConn
+	tcp       *net.TCPListener
+	dialer    net.Dialer
+	packets   chan *memberlist.Packet
+	streams   chan net.Conn
+	probe     func(data []byte, from netip.AddrPort, at time.Time) // runs on the reading task; may be nil
+	call      func(net.Conn)                                       // takes the stream; may be nil
+	unread    chan struct{}
+	tasks     sync.WaitGroup
+	ctx       context.Context
+	end       context.CancelFunc
+}
+
+func newTransport(listen, advertise netip.AddrPort) (*transport, error) {
+	t := &transport{advertise: advertise, packets: make(chan *memberlist.Packet, 256), streams: make(chan net.Conn), unread: make(chan struct{}, mostUnread),
+		// The other side knows by the address who calls.
+		dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: listen.Addr().AsSlice()}, KeepAlive: -1}}
+	t.ctx, t.end = context.WithCancel(context.Background())
+	var err error
+	if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(listen)); err != nil {
+		return nil, err
+	}
+	at := listen
+	if at.Port() == 0 {
+		at = t.tcp.Addr().(*net.TCPAddr).AddrPort()
+	}
+	if t.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+		t.tcp.Close()
+		return nil, err
+	}
+	_ = t.udp.SetReadBuffer(socketBuffer) // as large as the system allows
+	if !t.advertise.IsValid() {
+		t.advertise = at
+	}
+	return t, nil
+}
+
+// run reads until Shutdown.
+func (t *transport) run() {
+	t.tasks.Go(t.readPackets)
+	t.tasks.Go(t.acceptStreams)
+}
+
+func (t *transport) readPackets() {
+	buf := make([]byte, mostDatagram)
+	for {
+		n, from, err := t.udp.ReadFromUDPAddrPort(buf)
+		at := time.Now()
+		if t.ctx.Err() != nil {
+			return
+		}
+		if err != nil || n == 0 {
+			continue // an earlier datagram's ICMP error; the socket itself is fine
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if buf[0] == ProbeByte {
+			if t.probe != nil {
+				t.probe(buf[:n], from, at)
+			}
+			continue
+		}
+		p := &memberlist.Packet{Buf: append([]byte(nil), buf[:n]...), From: net.UDPAddrFromAddrPort(from), Timestamp: at}
+		select {
+		case t.packets <- p:
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *transport) acceptStreams() {
+	for {
+		c, err := t.tcp.AcceptTCP()
+		if t.ctx.Err() != nil {
+			if err == nil {
+				c.Close()
+			}
+			return
+		}
+		if err != nil {
+			select { // out of descriptors, say
+			case <-time.After(50 * time.Millisecond):
+			case <-t.ctx.Done():
+			}
+			continue
+		}
+		select {
+		case t.unread <- struct{}{}:
+			t.tasks.Go(func() { t.sort(c) })
+		default:
+			c.Close()
+		}
+	}
+}
+
+// sort finds out whose a stream is.
+func (t *transport) sort(c *net.TCPConn) {
+	defer func() { <-t.unread }()
+	stop := context.AfterFunc(t.ctx, func() { c.Close() })
+	r := bufio.NewReaderSize(c, 512)
+	_ = c.SetReadDeadline(time.Now().Add(firstWithin)) // closed already if it fails
+	first, err := r.Peek(1)
+	if !stop() || err != nil || c.SetReadDeadline(time.Time{}) != nil {
+		c.Close()
+		return
+	}
+	s := &sorted{c, r}
+	if first[0] == callByte {
+		if t.call == nil {
+			c.Close()
+			return
+		}
+		t.call(s)
+		return
+	}
+	select {
+	case t.streams <- s:
+	case <-t.ctx.Done():
+		c.Close()
+	}
+}
+
+// sorted is a stream of which the first bytes were read ahead.
+type sorted struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (s *sorted) Read(p []byte) (int, error) { return s.r.Read(p) }
+
+func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return t.advertise.Addr().AsSlice(), int(t.advertise.Port()), nil
+}
+
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return time.Time{}, err
+	}
+	at := time.Now()
+	_, err = t.udp.WriteToUDPAddrPort(b, to)
+	return at, err
+}
+
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *transport) StreamCh() <-chan net.Conn           { return t.streams }
+
+func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	d := t.dialer
+	d.Timeout = timeout
+	return d.DialContext(t.ctx, "tcp", addr)
+}
+
+func (t *transport) Shutdown() error {
+	t.end()
+	err := errors.Join(t.udp.Close(), t.tcp.Close())
+	t.tasks.Wait()
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	return nil
+}
