--- a/api.go
+++ b/api.go
@@ -10,7 +10,11 @@
 // that are pending and the backends that are listed or have attempts out.
 package brookferry
 
-import "time"
+import (
+	"time"
+
+	"brookferry/internal/residency/gate"
+)
 
 // Effect says what repeating a request does.
 type Effect uint8
@@ -126,7 +130,19 @@
 		Repeat bool          // the client says that it tries again
 		Key    uint64        // a hash of what it concerns; 0: unknown
 		Coming bool          // its body is large and still coming: BodyWhole follows, and Left runs from then
+		Rule   int           // of residency, that holds for its tenant and class; 0: none
+	}
+	// Part is this agent's part of what all may have in flight together, where agents know of each other. An even one is
+	// taken where it never came.
+	Part struct{ Of float64 }
+	// Distances are what the agents measured from this one's zone to each, by number. 0: not known, or nothing came back;
+	// Loss says which.
+	Distances struct {
+		Trip []time.Duration
+		Loss []float64 // share of asks without an answer
 	}
+	// Residency is the policy that is in force from now on.
+	Residency struct{ Table *gate.Table }
 	// BodyWhole says that the last byte of a large body has come.
 	BodyWhole struct{ Request string }
 	// BodySpent says that part of a large body is gone: no further attempt can be made.
@@ -227,6 +243,7 @@
 	Refuse struct {
 		Request    string
 		RetryAfter time.Duration // 0: no advice
+		Residency  bool          // no zone that is permitted has a backend that is up
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ Request string }
@@ -272,6 +289,9 @@
 func (Inherit) event()       {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
+func (Part) event()          {}
+func (Distances) event()     {}
+func (Residency) event()     {}
 
 func (Send) action()      {}
 func (Cancel) action()    {}
--- a/attempts.go
+++ b/attempts.go
@@ -30,6 +30,7 @@
 	failed   *backend // the backend that failed it last
 	timer    int64    // the token of its latest timer; earlier ones are void
 	key      uint64   // a hash of what it concerns; 0: unknown
+	rule     int      // of residency; 0: none
 	repeat   bool     // a later try of the client: part of its aim has passed
 	passed   bool     // found no backend in this step
 
--- a/brookferry.go
+++ b/brookferry.go
@@ -45,6 +45,13 @@
 			if r := b.requests[e.Request]; r != nil {
 				b.close(r)
 			}
+		case Part:
+			b.mine = e.Of
+			b.reckon()
+		case Distances:
+			b.onDistances(e)
+		case Residency:
+			b.resident = e.Table
 		default:
 			b.onOperations(e)
 		}
@@ -59,7 +66,7 @@
 	}
 	c := &b.classes[e.Class]
 	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
-		deadline: b.now + e.Left, repeat: e.Repeat, key: e.Key, came: b.now, coming: e.Coming}
+		deadline: b.now + e.Left, repeat: e.Repeat, rule: e.Rule, key: e.Key, came: b.now, coming: e.Coming}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	if c.patience == 0 {
@@ -205,7 +212,7 @@
 	var answer Action = Fail{Request: r.id}
 	if r.risky == 0 {
 		wait := time.Duration(comeBack * (0.5 + b.rng.Float64()) * float64(b.period))
-		answer = Refuse{Request: r.id, RetryAfter: b.s.advice(wait)}
+		answer = Refuse{Request: r.id, RetryAfter: b.s.advice(wait), Residency: !b.homes(r)}
 	}
 	b.actions = append(b.actions, answer)
 	b.close(r)
--- a/cmd/martenbeam/agent.go
+++ b/cmd/martenbeam/agent.go
@@ -8,6 +8,7 @@
 
 	"brookferry/internal/agent"
 	"brookferry/internal/config"
+	"brookferry/internal/together"
 )
 
 type agentCmd struct {
@@ -31,6 +32,7 @@
 
 func (c *agentCmd) Run(o *output) error {
 	source := agent.Platform(os.Getenv)
+	source.Join = together.Shares
 	if c.Config != "" {
 		read := func() ([]byte, error) {
 			k, err := config.Read(c.Config)
@@ -42,7 +44,7 @@
 		if _, err := read(); err != nil {
 			return usageError{err}
 		}
-		source = agent.Source{Name: c.Config, Read: read, Getenv: func(string) string { return "" }}
+		source = agent.Source{Name: c.Config, Read: read, Getenv: func(string) string { return "" }, Join: together.Shares}
 	} else if os.Getenv("PROXY_CONFIG") == "" {
 		return usageError{fmt.Errorf("no configuration: name a file with --config or MARTENBEAM_CONFIG, or set PROXY_CONFIG as the platform does")}
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"brookferry"
 	"brookferry/internal/agent/discovery"
+	"brookferry/internal/fleet/source"
 )
 
 // Agent is one agent, ready to run.
@@ -30,6 +31,7 @@
 	discovery *discovery.Follower
 	admin     *admin    // nil: operators have no door
 	handover  *handover // nil: this process has no successor
+	together  Together  // nil: it has no fleet
 	listener  *limitListener
 	retireIn  time.Duration           // a process that has a successor ends
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
@@ -56,7 +58,15 @@
 	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
 		return nil, err
 	}
+	if err = a.join(); err != nil {
+		return nil, err
+	}
+	var sources source.Sources
+	if a.together != nil && cfg.Settings.Subscribe {
+		sources = a.together
+	}
 	a.discovery = discovery.New(discovery.Config{
+		Sources:    sources,
 		Translator: discovery.Translator{Zones: cfg.Site.Zones, Kinds: cfg.Site.Kinds, At: ck.at, Log: log},
 		Addr:       cfg.Discovery, Asked: cfg.Settings.Subscribe, ConnectTimeout: cfg.Settings.ConnectTimeout,
 		Post: func(u discovery.Update) { a.loop.post(u) }})
@@ -67,6 +77,7 @@
 		}
 	}
 	a.front = newFront(cfg, a.loop, log)
+	a.front.residency = a.loop.residency
 	if cfg.Mgmt != "" {
 		if a.admin, err = newAdmin(cfg, a.loop, a.front, log); err != nil {
 			return nil, err
@@ -132,6 +143,9 @@
 	running.Go(func() { a.loop.run(ctx) })
 	running.Go(func() { a.discovery.Run(ctx) })
 	running.Go(func() { a.backends.reap(ctx) })
+	if a.together != nil {
+		running.Go(func() { a.stayTogether(ctx) })
+	}
 	heard, deaf := context.WithCancel(ctx)
 	defer deaf()
 	if a.loop.peers != nil {
@@ -150,6 +164,9 @@
 	a.front.taking.Store(true)
 	served := make(chan error, 1)
 	go func() { served <- a.front.serve(a.listener) }()
+	if a.together != nil && !a.cfg.Settings.Subscribe {
+		a.together.Ready()
+	}
 	a.log.Info("serving", "listen", a.listener.Addr().String(), "backends", known)
 	select {
 	case err := <-served:
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -16,6 +16,7 @@
 
 	"brookferry"
 	"brookferry/internal/agent/discovery"
+	"brookferry/internal/residency/gate"
 	"brookferry/internal/wire"
 )
 
@@ -63,6 +64,9 @@
 	idle  map[string][]*conn // by backend id, the latest used last
 	open  int                // idle, in use or being dialled
 	reuse reuse
+	zones map[string]int // by backend id
+
+	residency gate.Keeper // nil: no policy
 }
 
 // conn is one connection. It carries one request at a time.
@@ -79,13 +83,17 @@
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		keepIdle: cfg.Site.IdleClose * 3 / 4,
-		addrs:    map[string]string{}, held: map[string]bool{}, idle: map[string][]*conn{}}
+		addrs:    map[string]string{}, zones: map[string]int{}, held: map[string]bool{}, idle: map[string][]*conn{}}
 	b.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
 		// The dialled connection goes into the context's slot, which tells what was written on it.
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
+			dialer := net.Dialer{KeepAlive: -1}
+			if cfg.DialFrom != "" {
+				dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.DialFrom)}
+			}
+			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -156,7 +164,7 @@
 			b.forget(m.ID)
 		}
 		if ok {
-			b.addrs[m.ID] = addr
+			b.addrs[m.ID], b.zones[m.ID] = addr, m.Zone
 		}
 	}
 }
@@ -177,6 +185,7 @@
 // forget drops a backend's address and its idle connections. The lock is held.
 func (b *backends) forget(id string) {
 	delete(b.addrs, id)
+	delete(b.zones, id)
 	b.dropIdle(id)
 }
 
@@ -327,6 +336,7 @@
 	over   <-chan struct{}         // the request has ended: nothing more is sent for it
 	quit   <-chan struct{}         // nobody takes a large answer any more
 	id     string                  // of the backend
+	rule   int                     // of residency; 0: none
 	m      *message
 	start  time.Time
 	until  time.Time // as the backend is told; zero: as ctx says
@@ -377,6 +387,10 @@
 			b.give(t.id, c, false)
 			return brookferry.ConnectFailed, nil, wire.Load(nil)
 		}
+		if !b.permitted(t.rule, t.id) {
+			b.give(t.id, c, true)
+			return brookferry.ConnectFailed, nil, wire.Load(nil)
+		}
 		reused := c.idle > 0
 		result, answer, load := b.send(t, c)
 		// A kept connection that had died before the request was written whole tells nothing of
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -27,10 +27,12 @@
 	Seed       uint64
 	Cores      float64
 	MemoryMB   int
-	Sockets    int // file descriptors that the process may hold
+	Sockets    int    // file descriptors that the process may hold
+	DialFrom   string // the address from which backends are called; "": the system's choice
 	PeerListen string
 	Peers      []string           // addresses by agent number
 	Known      *discovery.Members // the list of backends as last stored; may be absent
+	Join       Join               // nil: there is no fleet
 
 	Settings brookferry.Settings
 	Site     wire.Site
@@ -39,14 +41,15 @@
 // Source is where a configuration comes from. It is read at the start, and again after a SIGHUP.
 type Source struct {
 	Name   string
-	Read   func() ([]byte, error) // in the platform's form
-	Getenv func(string) string    // its PROXY_ variables, where set, go before what the text says
+	Read   func() ([]byte, error)         // in the platform's form
+	Getenv func(string) string            // its PROXY_ variables, where set, go before what the text says
+	Join   func(raw []byte) (Join, error) // what the agent shares, by the same text; nil: nothing
 }
 
 // Platform is the file that PROXY_CONFIG names.
 func Platform(getenv func(string) string) Source {
 	path := getenv("PROXY_CONFIG")
-	return Source{path, func() ([]byte, error) {
+	return Source{Name: path, Getenv: getenv, Read: func() ([]byte, error) {
 		if path == "" {
 			return nil, errors.New("PROXY_CONFIG is not set")
 		}
@@ -55,7 +58,7 @@
 			err = fmt.Errorf("PROXY_CONFIG: %w", err)
 		}
 		return raw, err
-	}, getenv}
+	}}
 }
 
 // Load reads the configuration. An error names the field that is wrong.
@@ -65,6 +68,9 @@
 		return nil, err
 	}
 	c, err := parseConfig(raw, s.Getenv)
+	if err == nil && s.Join != nil {
+		c.Join, err = s.Join(raw)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
 	}
@@ -97,6 +103,7 @@
 			Sockets  int
 		}
 		Mgmt       string
+		DialFrom   string `json:"dial_from"`
 		PeerListen string `json:"peer_listen"`
 		Peers      []string
 		Known      *discovery.Members
@@ -107,7 +114,7 @@
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Mgmt: f.Mgmt, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
-		PeerListen: f.PeerListen, Peers: f.Peers, Known: f.Known}
+		DialFrom: f.DialFrom, PeerListen: f.PeerListen, Peers: f.Peers, Known: f.Known}
 	for name, field := range map[string]*string{
 		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
 		"PROXY_MGMT": &c.Mgmt} {
@@ -131,6 +138,9 @@
 		}
 		c.Scratch = cmp.Or(getenv("TMPDIR"), os.TempDir())
 	}
+	if c.DialFrom != "" && net.ParseIP(c.DialFrom) == nil {
+		return nil, fmt.Errorf("dial_from: %q is not an IP address", c.DialFrom)
+	}
 	if c.Mgmt != "" {
 		if err := checkAddr("mgmt", c.Mgmt); err != nil {
 			return nil, err
--- a/internal/agent/discovery/follow.go
+++ b/internal/agent/discovery/follow.go
@@ -1,7 +1,10 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -11,6 +14,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"brookferry"
+	"brookferry/internal/fleet/source"
 )
 
 // Discovery sends an empty line every 2 s while nothing changes: a machine that is cut off closes nothing. What a
@@ -28,8 +32,12 @@
 	// Waits after a failure where lists are pushed: full jitter below a doubling ceiling, which stays under the grace
 	// for drains, since what discovery holds counts as told the moment it is back.
 	waitFirst, waitMost = 50 * time.Millisecond, 400 * time.Millisecond
+	// A source that others were ahead of for so many looks in a row is left.
+	lookEvery, behindMost = time.Second, 3
 )
 
+var errBehind = errors.New("others have a later list")
+
 // Config is what a Follower needs.
 type Config struct {
 	Translator
@@ -38,6 +46,7 @@
 	ConnectTimeout time.Duration
 	Post           func(Update)
 	Dial           func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
+	Sources        source.Sources                                                    // where and when lists are asked for; nil: of discovery, when the module asks
 }
 
 // Follower follows the list of backends. Where lists are asked for, the module says when to watch, and when to try
@@ -48,10 +57,11 @@
 	Record  func(from string, list *Members)
 	Silence time.Duration
 
-	cfg    Config
-	client *http.Client
-	asks   chan struct{} // a Subscribe of the module, at most one waiting
-	moved  chan struct{} // at most one waiting
+	cfg     Config
+	client  *http.Client
+	relayed *http.Client  // by way of another member of the fleet
+	asks    chan struct{} // a Subscribe of the module, at most one waiting
+	moved   chan struct{} // at most one waiting
 
 	mu   sync.Mutex
 	addr string
@@ -76,21 +86,28 @@
 	f := &Follower{cfg: cfg, addr: cfg.Addr, watched: cfg.Addr, Silence: silentPushed,
 		asks: make(chan struct{}, 1), moved: make(chan struct{}, 1), told: make(chan news),
 		// A factor of 1 around half the ceiling is full jitter below it.
-		waits: &backoff.ExponentialBackOff{InitialInterval: waitFirst / 2, RandomizationFactor: 1, Multiplier: 2, MaxInterval: waitMost / 2},
-		client: &http.Client{
-			Transport: &http.Transport{
-				DisableKeepAlives:  true, // a watch has its own connection; nothing may be resent on an old one
-				DisableCompression: true,
-				DialContext:        cfg.Dial,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}}
+		waits:  &backoff.ExponentialBackOff{InitialInterval: waitFirst / 2, RandomizationFactor: 1, Multiplier: 2, MaxInterval: waitMost / 2},
+		client: clientOver(cfg.Dial)}
 	if cfg.Asked {
 		f.Silence = silentAsked
 	}
+	if cfg.Sources != nil {
+		f.relayed = clientOver(cfg.Sources.Dial)
+	}
 	return f
 }
 
+func clientOver(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives:  true, // a watch has its own connection; nothing may be resent on an old one
+			DisableCompression: true,
+			DialContext:        dial,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Subscribe asks for a watch. While one is being started a further call adds nothing.
 func (f *Follower) Subscribe() {
 	select {
@@ -131,10 +148,24 @@
 		due.Stop()
 	}
 	f.waits.Reset()
-	for {
+	var look <-chan time.Time // at what others have told of
+	if f.cfg.Sources != nil {
+		tick := time.NewTicker(lookEvery)
+		defer tick.Stop()
+		look = tick.C
+	}
+	for behind := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
+		case <-look:
+			if behind++; f.current == nil || !f.cfg.Sources.Behind(f.version) {
+				behind = 0
+			} else if behind == behindMost {
+				behind = 0
+				f.drop(f.current)
+				f.lost(news{from: f.current, err: errBehind})
+			}
 		case <-f.moved: // nothing has failed: on to the new address
 			f.drop(f.opening...)
 			if f.current != nil {
@@ -179,9 +210,23 @@
 	ctx, drop := context.WithCancel(ctx)
 	w := &watch{addr: addr, since: f.version, drop: drop}
 	f.opening = append(f.opening, w)
+	fails := f.fails
 	f.tasks.Go(func() {
 		defer drop()
-		w.run(ctx, f.client, f.Silence, func(n news) {
+		client, silence, heard := f.client, f.Silence, func() {}
+		if from := f.cfg.Sources; from != nil {
+			var ok bool
+			if w.via, ok = from.Next(ctx, fails); !ok {
+				return
+			}
+			if w.via.Relayed {
+				client = f.relayed
+			}
+			silence = cmp.Or(w.via.Silence, silence)
+			heard = func() { from.Heard(w.via) }
+		}
+		w.began = time.Now()
+		w.run(ctx, client, silence, heard, func(n news) {
 			select {
 			case f.told <- n:
 			case <-ctx.Done(): // nobody listens any more
@@ -217,11 +262,17 @@
 	}
 	f.fails = 0
 	f.waits.Reset()
+	was := f.version
 	f.version = n.list.Version
-	if f.Record != nil {
+	if f.Record != nil || f.cfg.Sources != nil {
 		f.whole.merge(n.list, n.list.Full)
+	}
+	if f.Record != nil {
 		f.Record(w.addr, f.whole.members(n.list.Version))
 	}
+	if f.cfg.Sources != nil {
+		f.passOn(w, n.list, was)
+	}
 	kind := brookferry.ListDelta
 	if n.list.Full {
 		kind = brookferry.ListFull
@@ -229,6 +280,27 @@
 	f.cfg.Post(f.cfg.Update(n.list, kind))
 }
 
+// passOn tells the fleet of a list.
+func (f *Follower) passOn(w *watch, m *Members, was int64) {
+	if !w.listed {
+		w.listed = true
+		f.cfg.Sources.Answered(w.via, time.Since(w.began), false, m.Version)
+	}
+	var change []byte
+	if !m.Full {
+		change = encode(m)
+	}
+	f.cfg.Sources.Listed(w.via, was, m.Version, change, encode(f.whole.members(m.Version)))
+}
+
+func encode(m *Members) []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // it was read as JSON
+	}
+	return text
+}
+
 // lost takes the end of a watch, or of what should have become one.
 func (f *Follower) lost(n news) {
 	f.opening = slices.DeleteFunc(f.opening, func(o *watch) bool { return o == n.from })
@@ -238,6 +310,9 @@
 	if n.bad {
 		f.version = 0 // the whole list may make sense
 	}
+	if f.cfg.Sources != nil && !n.from.listed {
+		f.cfg.Sources.Answered(n.from.via, 0, true, f.version)
+	}
 	f.fails++
 	if f.fails == 1 || f.fails%20 == 0 { // not a line for every try while it is down
 		f.cfg.Log.Warn("discovery watch ended", "error", n.err, "failures", f.fails)
--- a/internal/agent/discovery/watch.go
+++ b/internal/agent/discovery/watch.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"brookferry/internal/fleet/source"
 )
 
 // maxValue bounds one value of the stream, in bytes: a longer one is no list.
@@ -22,9 +24,13 @@
 
 // watch is one connection to discovery. Its task runs until the connection ends.
 type watch struct {
-	addr  string
+	addr  string // of discovery, as it was when the watch was begun
 	since int64
 	drop  context.CancelFunc
+	via   source.Source // set by its task before it tells anything
+	began time.Time     // the same; when it was opened
+
+	listed bool // the supervisor's: a list has come
 }
 
 // news is what a watch's task tells the supervisor.
@@ -56,12 +62,12 @@
 }
 
 // run follows changes until the connection ends, and tells of each in turn, and of the end. tell may wait.
-func (w *watch) run(ctx context.Context, client *http.Client, silence time.Duration, tell func(news)) {
+func (w *watch) run(ctx context.Context, client *http.Client, silence time.Duration, heard func(), tell func(news)) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	fallen := time.AfterFunc(silence, func() { end(errSilent) })
 	defer fallen.Stop()
-	err := w.follow(ctx, client, func() { fallen.Reset(silence) }, tell)
+	err := w.follow(ctx, client, func() { fallen.Reset(silence); heard() }, tell)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
@@ -72,7 +78,11 @@
 }
 
 func (w *watch) follow(ctx context.Context, client *http.Client, alive func(), tell func(news)) error {
-	url := "http://" + w.addr + "/catalog/members?follow=1&since=" + strconv.FormatInt(w.since, 10)
+	addr := w.addr
+	if w.via.Relayed {
+		addr = w.via.Addr
+	}
+	url := "http://" + addr + "/catalog/members?follow=1&since=" + strconv.FormatInt(w.since, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/residency/gate"
 	"brookferry/internal/wire"
 )
 
@@ -34,6 +35,8 @@
 	taking atomic.Bool  // accepts clients
 	leaves atomic.Int64 // a successor has its clients, and the platform kills then (Unix, ns); 0: not yet
 
+	residency gate.Keeper // nil: no policy
+
 	lobby
 	conns  int
 	silent map[net.Conn]bool // have not sent a byte yet
@@ -343,6 +346,9 @@
 	if c, err := hr.Cookie("sid"); err == nil {
 		r.key = wire.Key(c.Value)
 	}
+	if k := f.residency; k != nil {
+		r.rule = k.Rule(h.Get("X-Customer"), first)
+	}
 	if r.id == "" {
 		return nil, bad("X-Trace-Id: missing")
 	}
@@ -440,6 +446,9 @@
 		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write(a.served.body) // a client that is gone needs no answer
 	case a.refused:
+		if a.residency {
+			w.Header().Set("X-Refused-For", "residency")
+		}
 		f.refuse(w, a.retryAfter)
 	case a.duplicate:
 		http.Error(w, "a request with this X-Trace-Id is open", http.StatusConflict)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -12,6 +12,7 @@
 
 	"brookferry"
 	"brookferry/internal/agent/discovery"
+	"brookferry/internal/residency/gate"
 )
 
 // clock is the agent's monotonic clock. It does not start at zero, so that backends that started
@@ -35,6 +36,7 @@
 	work     time.Duration
 	repeat   bool
 	key      uint64        // a hash of what it concerns; 0: unknown
+	rule     int           // of residency; 0: none
 	reply    chan reply    // of one, so that the loop never waits
 	over     chan struct{} // closed with the final answer
 
@@ -54,6 +56,7 @@
 	served     *answer
 	refused    bool
 	retryAfter time.Duration
+	residency  bool // refused, since nowhere that is permitted a backend is up
 	timedOut   bool // failed, for want of time
 	duplicate  bool // failed: another request with this id is open
 }
@@ -88,6 +91,9 @@
 	watch    func()                  // asks discovery for a watch
 	handOn   func(brookferry.Legacy) // to the next process, now and then; may be nil
 
+	residency gate.Keeper // nil: no policy
+	resides   int         // the table that the module has heard of
+
 	events   chan any
 	calls    chan *call // of operators, ahead of the events
 	asked    map[int64]*call
@@ -240,6 +246,7 @@
 		if len(l.pending) == 0 {
 			continue
 		}
+		l.reside()
 		last = now
 		events := l.pending
 		l.pending = nil
@@ -275,7 +282,7 @@
 		l.counts.requests++
 		l.requests[e.id] = e.request
 		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class, Work: e.work,
-			Repeat: e.repeat, Key: e.key, Coming: e.message.large()})
+			Repeat: e.repeat, Key: e.key, Rule: e.rule, Coming: e.message.large()})
 	case whole:
 		e.deadline = e.message.upload.at.Add(e.left)
 		for _, x := range e.times {
@@ -338,8 +345,8 @@
 	case brookferry.ProbeResult:
 		delete(l.probing, e.Backend)
 		l.pending = append(l.pending, e)
-	case brookferry.PeerMessage:
-		l.pending = append(l.pending, e)
+	case brookferry.PeerMessage, brookferry.Part, brookferry.Distances:
+		l.pending = append(l.pending, e.(brookferry.Event))
 	}
 }
 
@@ -369,7 +376,7 @@
 	case brookferry.Refuse:
 		if r := l.requests[a.Request]; r != nil && !r.done {
 			l.counts.refused++
-			l.finish(r, reply{refused: true, retryAfter: a.RetryAfter})
+			l.finish(r, reply{refused: true, retryAfter: a.RetryAfter, residency: a.Residency})
 			l.forget(r)
 		}
 	case brookferry.Fail:
@@ -427,7 +434,7 @@
 	r.open++
 	l.counts.attempts++
 	go func() {
-		t := &try{ctx: ctx, cancel: cancel, over: r.over, quit: l.stopped, id: a.Backend, m: r.message, start: start, until: until}
+		t := &try{ctx: ctx, cancel: cancel, over: r.over, quit: l.stopped, id: a.Backend, m: r.message, rule: r.rule, start: start, until: until}
 		t.began = func(ans *answer, took time.Duration) bool {
 			if !x.begin() {
 				return false
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	Listen    string   `toml:"listen"`
 	Discovery string   `toml:"discovery"`
 	Mgmt      string   `toml:"mgmt"`
+	Lists     string   `toml:"lists"`
 	Seed      string   `toml:"seed"`
 	Zones     Zones    `toml:"zones"`
 	Zone      string   `toml:"zone"`
@@ -43,10 +44,13 @@
 		Self      int      `toml:"self"`
 		Listen    string   `toml:"listen"`
 	} `toml:"peers"`
-	Attempts struct {
+	Fleet     Fleet     `toml:"fleet"`
+	Residency Residency `toml:"residency"`
+	Attempts  struct {
 		Most           int             `toml:"most"`
 		ConnectTimeout strict.Duration `toml:"connect_timeout"`
 		IdleClose      strict.Duration `toml:"idle_close"`
+		From           string          `toml:"from"`
 		SecondCopies   bool            `toml:"second_copies"`
 		Cancel         bool            `toml:"cancel"`
 		Probes         bool            `toml:"probes"`
@@ -223,6 +227,15 @@
 	if _, err := strconv.ParseUint(c.Seed, 16, 64); c.Seed != "" && err != nil {
 		return c.wrong("seed", "%q is not a hexadecimal number of up to 16 digits", c.Seed)
 	}
+	if c.Lists != "pushed" && c.Lists != "asked" {
+		return c.wrong("lists", `%q is none of "pushed", "asked"`, c.Lists)
+	}
+	if _, err := netip.ParseAddr(c.Attempts.From); c.Attempts.From != "" && err != nil {
+		return c.wrong("attempts.from", "%q is no IP address", c.Attempts.From)
+	}
+	if err := c.checkFleet(); err != nil {
+		return err
+	}
 	if !slices.Contains(c.Zones.Names, c.Zone) {
 		return c.wrong("zone", "%q is none of zones", c.Zone)
 	}
@@ -261,18 +274,20 @@
 	if seed == "" {
 		seed = fmt.Sprintf("%016x", rand.Uint64())
 	}
+	fleet, residency := c.shared()
 	return json.Marshal(map[string]any{
+		"fleet": fleet, "residency": residency,
 		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "mgmt": c.Mgmt, "seed": seed,
-		"limits":      map[string]any{"cores": c.Limits.Cores, "memory_mb": c.Limits.MemoryMB, "sockets": c.Limits.Sockets},
-		"peer_listen": c.Peers.Listen, "peers": c.Peers.Addresses,
+		"limits":    map[string]any{"cores": c.Limits.Cores, "memory_mb": c.Limits.MemoryMB, "sockets": c.Limits.Sockets},
+		"dial_from": c.Attempts.From, "peer_listen": c.Peers.Listen, "peers": c.Peers.Addresses,
 		"settings": map[string]any{
 			"Balancers": max(1, len(c.Peers.Addresses)), "Me": c.Peers.Self, "Zone": slices.Index(c.Zones.Names, c.Zone), "Dcs": c.Zones.Names, "Regions": c.Zones.numbers(), "Kinds": c.Kinds,
-			"CountedBy": "request", "MembershipMode": "automatic", "TickMs": ms(c.Attempts.Tick), "Profiles": profiles,
+			"CountedBy": "request", "MembershipMode": map[string]string{"pushed": "automatic", "asked": "subscribe"}[c.Lists], "TickMs": ms(c.Attempts.Tick), "Profiles": profiles,
 			"PolicyLimits": map[string]any{"TryLimit": c.Attempts.Most, "SecondCopies": c.Attempts.SecondCopies, "MayProbe": c.Attempts.Probes,
 				"Cancel": c.Attempts.Cancel, "RetryAfter": c.Refusals.RetryAfter, "Peers": len(c.Peers.Addresses) > 1,
 				"MaxRetryAfterMs": ms(c.Refusals.MostRetryAfter), "ConnectTimeoutMs": ms(c.Attempts.ConnectTimeout),
 				"IdleCloseMs": ms(c.Attempts.IdleClose), "MaxOpen": c.Limits.Open},
-			"Contract": map[string]any{"DrainGraceMs": ms(c.Backends.DrainGrace), "GraceToAnswerMs": ms(c.Refusals.Grace), "ColdFrom": c.Backends.ColdFrom,
+			"Contract": map[string]any{"AskWithinMs": askWithin.Seconds() * 1e3, "DrainGraceMs": ms(c.Backends.DrainGrace), "GraceToAnswerMs": ms(c.Refusals.Grace), "ColdFrom": c.Backends.ColdFrom,
 				"RampTimeMs": ms(c.Backends.Ramp), "FallMultiple": c.Backends.FallMultiple, "FallMs": ms(c.Backends.FallWindow)},
 			"FamilyInfo": map[string]any{"WarmKeys": c.Backends.WarmKeys}, "Prices": map[string]any{"CrossZone": c.Prices.CrossZone, "CrossRegion": c.Prices.CrossRegion},
 			"Goal": map[string]any{"Whole": 1}, "Report": map[string]any{"Source": "off"},
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"brookferry/internal/residency"
+	"brookferry/internal/strict"
+)
+
+// Fleet is what an agent shares with others.
+type Fleet struct {
+	Listen    string   `toml:"listen"`
+	Advertise string   `toml:"advertise"`
+	Seeds     []string `toml:"seeds"`
+	Label     string   `toml:"label"`
+	Most      int      `toml:"most"`
+	Lists     string   `toml:"lists"`
+	ListRate  float64  `toml:"list_rate"`
+	Matrix    bool     `toml:"matrix"`
+	Trace     string   `toml:"trace"`
+	MaxAge    struct {
+		Service   strict.Duration `toml:"service"`
+		Distance  strict.Duration `toml:"distance"`
+		Residency strict.Duration `toml:"residency"`
+		Gone      strict.Duration `toml:"gone"`
+	} `toml:"max_age"`
+}
+
+// Residency is the policy that holds, and where it comes from.
+type Residency struct {
+	On     bool            `toml:"on"`
+	Policy string          `toml:"policy"`
+	Bound  strict.Duration `toml:"bound"`
+	State  string          `toml:"state"`
+}
+
+// askWithin is how long an agent may go without asking for the list, where lists are asked for.
+const askWithin = 10 * time.Second
+
+func (c *Config) checkFleet() error {
+	f, r := &c.Fleet, &c.Residency
+	if f.Listen != "" {
+		if err := c.address("fleet.listen", f.Listen, true); err != nil {
+			return err
+		}
+		if err := c.address("fleet.advertise", f.Advertise, false); err != nil {
+			return err
+		}
+		for _, s := range f.Seeds {
+			if err := c.address("fleet.seeds", s, true); err != nil {
+				return err
+			}
+		}
+	}
+	switch {
+	case len(f.Label) > 64:
+		return c.wrong("fleet.label", "%d bytes, at most 64", len(f.Label))
+	case f.Most < 1 || f.Most > 10000:
+		return c.wrong("fleet.most", "%d is not between 1 and 10000", f.Most)
+	case f.Lists != "own" && f.Lists != "relayed":
+		return c.wrong("fleet.lists", `%q is none of "own", "relayed"`, f.Lists)
+	case !(f.ListRate >= 0.5 && f.ListRate <= 1000):
+		return c.wrong("fleet.list_rate", "%v is not between 0.5 and 1000", f.ListRate)
+	case f.Listen != "" && c.Name == "":
+		return c.wrong("name", "is needed where there is a fleet")
+	}
+	for key, d := range map[string]strict.Duration{"fleet.max_age.service": f.MaxAge.Service, "fleet.max_age.distance": f.MaxAge.Distance,
+		"fleet.max_age.residency": f.MaxAge.Residency, "fleet.max_age.gone": f.MaxAge.Gone, "residency.bound": r.Bound} {
+		if d < strict.Duration(100*time.Millisecond) || d > strict.Duration(time.Hour) {
+			return c.wrong(key, "%v is not between 100ms and 1h", d.D())
+		}
+	}
+	switch {
+	case !r.On && r.Policy != "":
+		return c.wrong("residency.policy", "is given, and residency.on is false")
+	case r.On && r.Policy == "" && f.Listen == "":
+		return c.wrong("residency.policy", "is needed where there is no fleet to have it from")
+	}
+	if r.Policy != "" {
+		if _, _, err := residency.ReadFile(r.Policy); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Shared is what an agent shares, in the platform's form: the platform's own program passes over it.
+type Shared struct {
+	Fleet     *SharedFleet     `json:"fleet"`
+	Residency *SharedResidency `json:"residency"`
+	Name      string           `json:"name"`
+	Settings  struct {
+		Zone int      `json:"Zone"`
+		Dcs  []string `json:"Dcs"`
+	} `json:"settings"`
+}
+
+// SharedFleet is [fleet].
+type SharedFleet struct {
+	Listen    string             `json:"listen"`
+	Advertise string             `json:"advertise"`
+	Seeds     []string           `json:"seeds"`
+	Label     string             `json:"label"`
+	Most      int                `json:"most"`
+	Lists     string             `json:"lists"`
+	ListRate  float64            `json:"list_rate"`
+	Matrix    bool               `json:"matrix"`
+	Trace     string             `json:"trace"`
+	MaxAgeMs  map[string]float64 `json:"max_age_ms"`
+}
+
+// SharedResidency is [residency].
+type SharedResidency struct {
+	Policy  string  `json:"policy"`
+	BoundMs float64 `json:"bound_ms"`
+	State   string  `json:"state"`
+}
+
+func (c *Config) shared() (f *SharedFleet, r *SharedResidency) {
+	ms := func(d strict.Duration) float64 { return d.D().Seconds() * 1e3 }
+	if c.Fleet.Listen != "" {
+		a := &c.Fleet.MaxAge
+		f = &SharedFleet{c.Fleet.Listen, c.Fleet.Advertise, c.Fleet.Seeds, c.Fleet.Label, c.Fleet.Most, c.Fleet.Lists, c.Fleet.ListRate,
+			c.Fleet.Matrix, c.Fleet.Trace, map[string]float64{"service": ms(a.Service), "distance": ms(a.Distance),
+				"residency": ms(a.Residency), "gone": ms(a.Gone)}}
+	}
+	if c.Residency.On {
+		r = &SharedResidency{c.Residency.Policy, ms(c.Residency.Bound), c.Residency.State}
+	}
+	return f, r
+}
+
+// ReadShared reads what an agent shares out of a configuration in the platform's form.
+func ReadShared(raw []byte) (s Shared, err error) { return s, json.Unmarshal(raw, &s) }
--- a/limits.go
+++ b/limits.go
@@ -4,7 +4,6 @@
 // or is refused while it binds.
 
 import (
-	"math"
 	"time"
 )
 
@@ -45,6 +44,9 @@
 			if r.repeat {
 				v *= repeatValue
 			}
+			if b.binds(r) {
+				v *= boundFirst
+			}
 			if r.aim-b.now < time.Duration(b.expected(r)/2) {
 				v *= b.classes[r.class].LateWorth
 			}
@@ -68,7 +70,10 @@
 		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
 		give := min(r.aim, r.deadline) - time.Duration(need)
 		r.passed = false
-		if r.repeat || give <= b.now {
+		if b.binds(r) {
+			b.reserve(r)
+		}
+		if r.repeat || give <= b.now || !b.homes(r) {
 			b.unhold(r)
 			b.finish(r)
 		} else if r.timer == 0 {
@@ -113,24 +118,6 @@
 	b.credit = min(b.credit+b.expected(r)*min(part*part, thinMost), thinBurst*b.classes[r.class].latency)
 }
 
-// value is what a unit of work spent on a class now adds to the operator's goal.
-func (b *Balancer) value(class int) float64 {
-	total, worst, low := 0.0, -1, math.Inf(1)
-	for i := range b.classes {
-		c := &b.classes[i]
-		total += c.arrived * c.Worth * b.unit(c)
-		if share := (c.answered + 1) / (c.arrived + 1); share < low {
-			worst, low = i, share
-		}
-	}
-	c := &b.classes[class]
-	v := (b.s.GoalWhole + b.s.GoalWindow) * c.Worth * b.unit(c) / c.latency / max(total, 1e-9)
-	if class == worst {
-		v += b.s.GoalClass / (max(c.arrived, 1) * c.latency)
-	}
-	return v
-}
-
 // pace moves the limit on attempts in flight by the latency seen, as a share of the aim: down
 // when the running mean passes the aimed share, up while it binds, by the square of what is left to
 // it: when a zone is lost the others have to take its part within seconds, and near the aimed delay one
@@ -167,6 +154,9 @@
 			n-- // it has stopped, or is emptied, and its clients go elsewhere
 		}
 	}
+	if b.mine > 0 { // who is there is known: an even part of all who are
+		n = 1 / b.mine
+	}
 	if b.share = 1 / n; total > 0 {
 		b.share = (headShare + (1-headShare)*b.asked()/total*heard) / n
 	}
--- a/operations.go
+++ b/operations.go
@@ -12,14 +12,6 @@
 	backTries  = 5 * time.Second // and for so long the first request that may go there does
 )
 
-// calls is what operators said of backends, by id, and of this agent. The list knows nothing of it and
-// ends none of it.
-type calls struct {
-	moved    float64                  // the demand of this agent's clients, who were sent elsewhere; 0: they are here
-	detached map[string]BackendState  // with the state that the list last told
-	returned map[string]time.Duration // when they were called back, while that still makes them cold
-}
-
 // onOperations takes the events that operators cause, and those of large answers.
 func (b *Balancer) onOperations(e Event) {
 	switch e := e.(type) {
@@ -42,13 +34,6 @@
 	}
 }
 
-// has reports whether a call may name this id.
-func (b *Balancer) has(id string) bool {
-	_, out := b.calls.detached[id]
-	_, back := b.calls.returned[id]
-	return out || back || b.byID[id] != nil
-}
-
 func (b *Balancer) onDetach(e Detach) {
 	taken := e.Carried || b.has(e.Backend)
 	if _, out := b.calls.detached[e.Backend]; taken && !out {
--- a/picking.go
+++ b/picking.go
@@ -49,8 +49,8 @@
 			load = max(load, float64(b.inFlight)/float64(b.up)) // a new one counts at the mean: no rush
 		}
 		slow := b.slowness(t) * *b.fit(t, r.class)
-		near := b.near(t)
-		if load < 1 {
+		near, far := b.near(t), b.farther(b.zone(t))
+		if load < 1 && float64(far) < farAim*float64(b.classes[r.class].Aim) {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
 			w := 1 / (slow * slow * slow)
@@ -76,7 +76,8 @@
 			continue
 		}
 		// Departure: in-flight counts are weighed by slowness for the same reason.
-		if score := (load + 1) * slow / b.warmth(t) * (1 + 0.01*b.rng.Float64()); score < least {
+		score := (load+1)*slow/b.warmth(t)*(1+0.01*b.rng.Float64()) + float64(far)/b.expected(r)
+		if score < least {
 			few, least = t, score
 		}
 	}
@@ -108,6 +109,9 @@
 		return 1
 	}
 	bias := crossBias * least / price
+	if b.farther(b.zone(t)) > 0 {
+		bias *= farBias
+	}
 	return bias + (1-bias)*b.spill(b.zone(t))
 }
 
@@ -121,17 +125,6 @@
 	return min(max((b.zones[b.s.Zone].pace/z.pace-1)/spillAt, 0), 1)
 }
 
-// price is what sending to a zone costs.
-func (b *Balancer) price(zone int) float64 {
-	switch regions := b.s.Regions; {
-	case zone == b.s.Zone:
-		return 0
-	case zone >= 0 && zone < len(regions) && b.s.Zone >= 0 && b.s.Zone < len(regions) && regions[zone] != regions[b.s.Zone]:
-		return max(b.s.CrossZonePrice, b.s.CrossRegionPrice)
-	}
-	return b.s.CrossZonePrice
-}
-
 // width is how many idle backends a choice is made among: the first of this agent's own order
 // that may be used. Departure: an agent with little traffic, spread over all, would hear of each
 // backend once a day and open a connection for nearly every attempt. It keeps to so many that it
--- /dev/null
+++ b/residency_test.go
@@ -0,0 +1,231 @@
+package brookferry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"brookferry"
+	"brookferry/internal/residency/gate"
+)
+
+// No action of the module sends a request where the table in force does not permit it: first attempts, repeats, second
+// copies, what was held while the policy changed, what goes to a backend that was called back or has moved to another
+// zone. Nothing is owed an answer for ever, either.
+func TestNothingIsSentOutside(t *testing.T) {
+	const zones, rules = 3, 4
+	rapid.Check(t, func(d *rapid.T) {
+		s := settings()
+		s.SecondCopies, s.Peers, s.Balancers = true, true, 3
+		list := backends(2 * zones)
+		r := newRig(t, s, rapid.Uint64().Draw(d, "seed"), list)
+		zone := map[string]int{}
+		for _, b := range list {
+			zone[b.ID] = b.Zone
+		}
+		table := &gate.Table{Rules: make([][]bool, rules), Bound: make([]bool, rules)}
+		rule, answered := map[string]int{}, map[string]bool{}
+		check := func(actions []brookferry.Action) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case brookferry.Send:
+					if !table.Permits(rule[a.Request], zone[a.Backend]) {
+						d.Fatalf("%s of rule %d went to %s in zone %d: %v", a.Request, rule[a.Request], a.Backend, zone[a.Backend], table)
+					}
+				case brookferry.Refuse:
+					answered[a.Request] = true
+				case brookferry.Fail:
+					answered[a.Request] = true
+				}
+			}
+		}
+		check(r.step(brookferry.Residency{Table: table}))
+		for i := range rapid.IntRange(20, 150).Draw(d, "events") {
+			switch rapid.IntRange(0, 9).Draw(d, "event") {
+			default:
+				id := fmt.Sprint("q", i)
+				rule[id] = rapid.IntRange(0, rules+1).Draw(d, "rule") // one more than the table has
+				check(r.step(brookferry.Request{ID: id, Class: rapid.IntRange(0, 4).Draw(d, "class"), Left: 2000 * ms, Rule: rule[id]}))
+			case 4, 5, 6: // an attempt ends somehow
+				ids := make([]string, 0, len(r.sent))
+				for id := range r.sent {
+					if !answered[id] {
+						ids = append(ids, id)
+					}
+				}
+				if slices.Sort(ids); len(ids) > 0 {
+					id := rapid.SampledFrom(ids).Draw(d, "id")
+					n := len(r.sent[id]) - 1
+					res := brookferry.Result(rapid.IntRange(0, 5).Draw(d, "result"))
+					answered[id] = answered[id] || res == brookferry.OK
+					check(r.step(brookferry.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: res, Latency: 50 * ms, Done: res == brookferry.OK}))
+				}
+			case 7:
+				check(r.advance(time.Duration(rapid.IntRange(1, 900).Draw(d, "ms")) * ms))
+			case 8: // another policy
+				table = &gate.Table{Gen: table.Gen + 1, Rules: make([][]bool, rules), Bound: make([]bool, rules)}
+				for n := range rules {
+					table.Bound[n] = rapid.Bool().Draw(d, "bound")
+					table.Rules[n] = rapid.SliceOfN(rapid.Bool(), zones, zones).Draw(d, "zones")
+				}
+				check(r.step(brookferry.Residency{Table: table}))
+			case 9: // a backend in another zone, or out of use and back
+				b := rapid.SampledFrom(list).Draw(d, "backend")
+				b.Zone = rapid.IntRange(-1, zones).Draw(d, "zone")
+				b.State = brookferry.BackendState(rapid.IntRange(0, 1).Draw(d, "state"))
+				zone[b.ID] = b.Zone
+				check(r.step(brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{b}}))
+				if rapid.Bool().Draw(d, "called") {
+					check(r.step(brookferry.Detach{Call: int64(i), Backend: b.ID}))
+					check(r.step(brookferry.Attach{Call: int64(i), Backend: b.ID}))
+				}
+			}
+		}
+		check(r.advance(10 * time.Second))
+		for id := range rule {
+			if !answered[id] && len(r.sent[id]) == 0 {
+				d.Fatalf("%s was neither sent nor answered", id)
+			}
+		}
+	})
+}
+
+func bind(zones ...bool) brookferry.Residency {
+	return brookferry.Residency{Table: &gate.Table{Gen: 1, Rules: [][]bool{nil, zones}, Bound: []bool{false, true}}}
+}
+
+// A bound request without a backend where it may be served is refused at once, and the client is told why.
+func TestNoHomeIsRefusedAtOnce(t *testing.T) {
+	for name, prepare := range map[string]func(r *rig){
+		"zone without backends": func(r *rig) { r.step(bind(false, false, false)) },
+		"zone drained": func(r *rig) {
+			r.step(bind(false, true, false))
+			for _, b := range backends(6)[2:4] {
+				b.State = brookferry.Draining
+				r.step(brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{b}})
+			}
+		},
+		"no policy": func(*rig) {},
+	} {
+		r := newRig(t, settings(), 1, backends(6))
+		prepare(r)
+		actions := r.step(brookferry.Request{ID: "q", Class: safe, Left: 2000 * ms, Rule: 1})
+		if len(actions) != 1 {
+			t.Fatalf("%s: %v", name, actions)
+		}
+		if a, ok := actions[0].(brookferry.Refuse); !ok || !a.Residency {
+			t.Errorf("%s: %+v", name, actions[0])
+		}
+		if a := r.step(brookferry.Request{ID: "free", Class: safe, Left: 2000 * ms}); len(r.sent["free"]) != 1 {
+			t.Errorf("%s: a request that is not bound: %v", name, a)
+		}
+	}
+}
+
+// Where a bound tenant's zone is crowded, those who may go elsewhere make way before it is refused.
+func TestBoundGoFirstInTheirRegion(t *testing.T) {
+	play := func(rule int) (in, refused int) {
+		r := newRig(t, settings(), 5, backends(6))
+		r.step(bind(true, false, false))
+		var open []string
+		for i := range 600 {
+			r.advance(5 * ms)
+			id := fmt.Sprint("f", i)
+			r.step(brookferry.Request{ID: id, Class: safe, Left: 2000 * ms})
+			open = append(open, id)
+			if i%4 == 0 {
+				id = fmt.Sprint("b", i)
+				for _, a := range r.step(brookferry.Request{ID: id, Class: safe, Left: 2000 * ms, Rule: rule}) {
+					if a, ok := a.(brookferry.Refuse); ok && a.Request == id {
+						refused++
+					}
+				}
+				open = append(open, id)
+			}
+			for len(open) > 20 { // each takes about 80 ms
+				if id := open[0]; len(r.sent[id]) > 0 {
+					if i > 300 && id[0] == 'f' && r.sent[id][0] < "c" {
+						in++
+					}
+					r.outcome(id, brookferry.OK, 80*ms)
+				}
+				open = open[1:]
+			}
+		}
+		return in, refused
+	}
+	free, _ := play(0)
+	aside, refused := play(1)
+	if refused > 0 || aside > free {
+		t.Errorf("%d bound requests refused; %d others in their zone, %d where nobody is bound", refused, aside, free)
+	}
+}
+
+// A zone that is known to be far gets what the near ones have no idle backend for, and is near again once it is not known.
+func TestFarZonesComeLast(t *testing.T) {
+	far := brookferry.Distances{Trip: []time.Duration{ms, ms, 60 * ms}, Loss: []float64{0, 0, 0}}
+	count := func(r *rig) (n int) {
+		for i := range 90 {
+			r.now += 20 * ms
+			id := fmt.Sprint("q", i, "-", r.now)
+			r.request(id, safe)
+			if r.sent[id][0] >= "e" {
+				n++
+			}
+			r.outcome(id, brookferry.OK, 50*ms)
+		}
+		return n
+	}
+	r := newRig(t, settings(), 7, backends(6))
+	for range 20 { // it is heeded with one of the next few words
+		r.step(far)
+	}
+	if n := count(r); n > 0 {
+		t.Errorf("%d of 90 went to the far zone while others were idle", n)
+	}
+	for i := range 24 { // and all are busy
+		r.request(fmt.Sprint("busy", i), safe)
+	}
+	there := 0
+	for _, at := range r.sent {
+		if at[0] >= "e" {
+			there++
+		}
+	}
+	if there == 0 {
+		t.Error("nothing goes far where the near ones are busy")
+	}
+	r = newRig(t, settings(), 7, backends(6))
+	for range 20 {
+		r.step(far)
+	}
+	r.step(brookferry.Distances{Trip: make([]time.Duration, 3), Loss: make([]float64, 3)})
+	if n := count(r); n < 15 {
+		t.Errorf("%d of 90 went to a zone of which nothing is known any more, want about a third", n)
+	}
+}
+
+// The fleet's word on who is there sets this agent's part of the limit.
+func TestPartOfTheLimit(t *testing.T) {
+	out := func(part float64) (n int) {
+		s := settings()
+		s.Balancers, s.Peers = 10, true
+		r := newRig(t, s, 3, backends(6))
+		if part > 0 {
+			r.step(brookferry.Part{Of: part})
+		}
+		for i := range 100 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	even, more, less := out(0), out(0.5), out(0.01)
+	if more < 3*even || less >= even || less < 1 {
+		t.Errorf("in flight: %d by the configuration, %d with half of the limit, %d with a hundredth", even, more, less)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"brookferry/internal/residency/gate"
 )
 
 // The records that the module keeps, and helpers that count. Nothing is decided here.
@@ -169,6 +171,9 @@
 	calls  calls // of operators, that hold
 	zones  []*zone
 	sound  bool // no zone is left or coming back
+
+	mine     float64     // part of the limit, as the fleet tells; 0: it does not
+	resident *gate.Table // nil: no policy was told
 }
 
 // New returns a balancer with no state. All its random choices come from seed.
--- a/sums.go
+++ b/sums.go
@@ -1,5 +1,7 @@
 package brookferry
 
+import "math"
+
 // What there is to use, summed up anew in each step. Nothing is decided here.
 
 // measure sums up what the backends that are up, and not ejected or down, can do.
@@ -28,3 +30,21 @@
 	}
 	b.remember()
 }
+
+// value is what a unit of work spent on a class now adds to the operator's goal.
+func (b *Balancer) value(class int) float64 {
+	total, worst, low := 0.0, -1, math.Inf(1)
+	for i := range b.classes {
+		c := &b.classes[i]
+		total += c.arrived * c.Worth * b.unit(c)
+		if share := (c.answered + 1) / (c.arrived + 1); share < low {
+			worst, low = i, share
+		}
+	}
+	c := &b.classes[class]
+	v := (b.s.GoalWhole + b.s.GoalWindow) * c.Worth * b.unit(c) / c.latency / max(total, 1e-9)
+	if class == worst {
+		v += b.s.GoalClass / (max(c.arrived, 1) * c.latency)
+	}
+	return v
+}
--- a/zone.go
+++ b/zone.go
@@ -22,6 +22,8 @@
 	back    time.Duration // used again since; 0: it has its full part
 	seen    bool          // left for what this agent saw itself, not by what it was told
 	words   []word        // what others told of its loss, a peer once
+	trip    time.Duration // round trip from this agent's zone, as steering takes it; 0: not known
+	tight   time.Duration // until then requests that may go elsewhere keep out of it
 	pace    float64       // running mean of what its answers take, as a multiple of the expected
 }
 
@@ -59,3 +61,46 @@
 	}
 	return lost
 }
+
+// usual is the share of attempts that the other zones leave without a word: what a zone is held against.
+func (b *Balancer) usual(z *zone) float64 {
+	worst := zoneUsual
+	for _, o := range b.zones {
+		if o != z && !o.left {
+			worst = max(worst, min(o.dull, zoneMute/2))
+		}
+	}
+	return worst
+}
+
+// cheapest reports whether no class is worth less.
+func (b *Balancer) cheapest(class int) bool {
+	for i := range b.classes {
+		if b.classes[i].Worth < b.classes[class].Worth {
+			return false
+		}
+	}
+	return true
+}
+
+// price is what sending to a zone costs.
+func (b *Balancer) price(zone int) float64 {
+	switch regions := b.s.Regions; {
+	case zone == b.s.Zone:
+		return 0
+	case zone >= 0 && zone < len(regions) && b.s.Zone >= 0 && b.s.Zone < len(regions) && regions[zone] != regions[b.s.Zone]:
+		return max(b.s.CrossZonePrice, b.s.CrossRegionPrice)
+	}
+	return b.s.CrossZonePrice
+}
+
+// farther is how much farther a zone is than the nearest one that is in use; 0: that is not known.
+func (b *Balancer) farther(zone *zone) time.Duration {
+	least := zone.trip
+	for _, z := range b.zones {
+		if z.trip > 0 && z.up > 0 && !z.left {
+			least = min(least, z.trip)
+		}
+	}
+	return zone.trip - least
+}
--- a/zones.go
+++ b/zones.go
@@ -96,17 +96,6 @@
 	}
 }
 
-// usual is the share of attempts that the other zones leave without a word: what a zone is held against.
-func (b *Balancer) usual(z *zone) float64 {
-	worst := zoneUsual
-	for _, o := range b.zones {
-		if o != z && !o.left {
-			worst = max(worst, min(o.dull, zoneMute/2))
-		}
-	}
-	return worst
-}
-
 // elsewhere reports whether another zone has answered since this one fell silent. Where none has, the silence is
 // this agent's own, or its link's, and nothing is left.
 func (b *Balancer) elsewhere(z *zone) bool {
@@ -200,8 +189,9 @@
 
 // closed says which zones a request may not go to now. Where every zone is left, none is.
 func (b *Balancer) closed(r *request) []bool {
+	aside := b.aside(r)
 	if b.sound {
-		return nil
+		return aside
 	}
 	closed, open := make([]bool, len(b.zones)), false
 	for i, z := range b.zones {
@@ -209,20 +199,11 @@
 		if closed[i] = part < 1 && b.rng.Float64() >= part; closed[i] && z.canary && r.risky == 0 && b.cheapest(r.class) {
 			closed[i] = false
 		}
-		open = open || !z.left && z.up > 0
+		open = open || !z.left && z.up > 0 && b.permitsZone(r, i)
+		closed[i] = closed[i] || aside != nil && aside[i]
 	}
 	if !open {
 		return nil
 	}
 	return closed
 }
-
-// cheapest reports whether no class is worth less.
-func (b *Balancer) cheapest(class int) bool {
-	for i := range b.classes {
-		if b.classes[i].Worth < b.classes[class].Worth {
-			return false
-		}
-	}
-	return true
-}
