Give the lab a list service of fixed capacity, fleets, policies and their checkers

Need: what agents share has to be judged from outside, with faults between several processes.

Checkers: no fact used past its bound and no sum of parts over 1.1 (by the agents' traces and one clock), no attempt's bytes in a zone that no policy in force permits. The report tells calls at the service, connections at the busiest backend, ready times, time to recover, ages, and how far matrices are from the true ways.

Seen: the checkers find stand-ins that leak at once, on repeats only, after a change, after a restart, that use old facts or take two parts, and pass honest ones; six real agents keep all of it through cold starts, stopped relays, a dark service, dead members, a cut between agents and a tightening (processes under kill, stop and cut).

--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -23,6 +23,9 @@
 	{"attempts_per_request", func(r *Report) float64 { return r.Attempts }, false},
 	{"left_after_s", leftFigure, false},
 	{"cross_zone_share", func(r *Report) float64 { return r.CrossZone }, false},
+	{"recovered_after_s", recoveredFigure, false},
+	{"connections_worst_s", func(r *Report) float64 { return float64(r.Dials) }, false},
+	{"latency_p50_ms", func(r *Report) float64 { return r.Latency.P50 }, false},
 	{"latency_p99_ms", func(r *Report) float64 { return r.Latency.P99 }, false},
 }
 
@@ -38,6 +41,17 @@
 	return *r.LeftAfter
 }
 
+// recoveredFigure is the time until service was back, in seconds: 0 where it never fell, all of the run where it stayed away.
+func recoveredFigure(r *Report) float64 {
+	switch {
+	case r.Recovered == nil:
+		return 0
+	case *r.Recovered < 0:
+		return r.For
+	}
+	return *r.Recovered
+}
+
 // Pair is one seed played with both versions.
 type Pair struct {
 	Seed uint64  `json:"seed"`
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -52,6 +53,7 @@
 	away    bool
 	upset   time.Duration // when it was last not itself
 	epoch   int           // counts restarts
+	lists   lists
 	changed chan struct{} // closed at each change
 }
 
@@ -172,12 +174,29 @@
 	return m
 }
 
-// addr is where an agent finds the backend.
-func (h *host) addr(agent int) string { return h.gates[agent].Addr().String() }
+// addr is where an agent finds the backend: at an address of its own, so that the network can tell agents apart, but for
+// lists that agents hand on to each other.
+func (h *host) addr(agent int) string {
+	if h.lab.Scenario.Shared.Relayed {
+		agent = 0
+	}
+	return h.gates[agent].Addr().String()
+}
 
 // known is the whole list as an agent's copy has it, and counts it as told. The lab's lock is held.
 func (d *discovery) known(a *agent, now time.Duration) members {
 	v, _ := d.visible(a, now)
+	switch d.lab.Scenario.Lists.Known {
+	case "none":
+		return members{Servers: []member{}}
+	case "first": // it is old: nothing later is told by it
+		v = d.base
+		for _, c := range d.changes {
+			if c.learned < 0 {
+				v++
+			}
+		}
+	}
 	m := d.list(a, d.base, v, true)
 	d.tell(a, d.base, v, now)
 	return m
@@ -209,6 +228,9 @@
 	if !follow {
 		since = 0
 	}
+	if !d.turn(w, r, since == 0) {
+		return
+	}
 	epoch := -1
 	for {
 		l.mu.Lock()
@@ -227,6 +249,12 @@
 				from = d.base
 			}
 			line, _ = json.Marshal(d.list(a, from, v, full)) // it holds nothing that can't be written
+			if l.Scenario.Lists.Indented {
+				var text bytes.Buffer
+				_ = json.Indent(&text, line, " ", "\t") // it is what was just written
+				line = text.Bytes()
+			}
+			d.lists.bytes += len(line)
 			d.tell(a, from, v, now)
 			since = v
 		}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -61,6 +61,11 @@
 	hosts     []*host
 	agents    []*agent
 	disc      *discovery
+	fleet     *fleetLinks      // nil: agents have no fleet
+	resident  *check.Residency // nil: no policy is in force
+	downs     []down           // ends of processes
+	distances []waysAt         // between sites, as they changed
+	starts    []time.Duration  // that processes took from their start until they took clients
 	attempts  map[uint64]*attempt
 	pods      map[podKey]bool // keys that pods have met
 	attempt   uint64          // number of the latest
@@ -257,6 +262,14 @@
 	if err := l.relays(); err != nil {
 		return err
 	}
+	if s.Shared.On {
+		if l.fleet, err = newFleetLinks(l); err != nil {
+			return err
+		}
+	}
+	if err := l.firstPolicy(); err != nil {
+		return err
+	}
 	for _, h := range l.hosts {
 		if err := h.open(); err != nil {
 			return err
@@ -293,6 +306,7 @@
 		l.Ready(l)
 	}
 	l.mu.Lock()
+	l.noteWays(0)
 	l.schedule()
 	l.everySecond(0)
 	l.mu.Unlock()
@@ -367,6 +381,9 @@
 	if disc != nil {
 		disc.close()
 	}
+	if l.fleet != nil {
+		l.fleet.close()
+	}
 	l.running.Wait()
 	l.block.close()
 }
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -18,9 +18,12 @@
 	Agent
 	Backend
 	Discovery
+	Member // an agent, as others of its fleet meet it
 )
 
-func (r Role) String() string { return [...]string{"client", "agent", "backend", "discovery"}[r] }
+func (r Role) String() string {
+	return [...]string{"client", "agent", "backend", "discovery", "member"}[r]
+}
 
 // Party is one end of a link. The client and discovery of agent 3 have its number.
 type Party struct {
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -95,7 +95,7 @@
 		spec.ChokeAt, spec.ChokeOver, spec.ChokeSlower = 7, seconds(1.5+choke[1]), 2+1.1*choke[2]
 		spec.ChokeRest, spec.ChokeMost = seconds(2.4+2.5*choke[3]), seconds(16+15*choke[3])
 	}
-	h := &host{lab: l, n: n, m: world.New(spec, started), conns: map[*backendConn]bool{}}
+	h := &host{lab: l, n: n, m: world.New(spec, started), conns: map[*backendConn]bool{}, opened: map[time.Duration]int{}}
 	l.hosts = append(l.hosts, h)
 	return h
 }
@@ -169,7 +169,7 @@
 		return 0 // on the same machine
 	case from.Role == link.Agent && to.Role == link.Agent:
 		r = l.Scenario.World.PeerMs
-	case l.zone(from) == l.zone(to):
+	case l.zone(from) == l.zone(to): // members of a fleet as well: they are as far from each other as from backends
 		r = l.Scenario.World.SameMs
 	case l.region(l.zone(from)) != l.region(l.zone(to)):
 		r = l.Scenario.World.FarMs
@@ -202,17 +202,27 @@
 	for _, p := range l.agents {
 		peers = append(peers, p.relay.LocalAddr().String())
 	}
+	mode := "automatic"
+	if s.Lists.Asked {
+		mode = "subscribe"
+	}
+	from := "" // where one address is for all, a backend knows by the other end's who calls
+	if s.Shared.Relayed {
+		from = l.block.agent(a.n)
+	}
+	fleet, residency := l.together(a)
 	return json.MarshalIndent(map[string]any{
+		"fleet": fleet, "residency": residency,
 		"name": a.name, "listen": a.listen, "discovery": l.disc.addr(a.n), "seed": fmt.Sprintf("%016x", l.rng.Hash(fmt.Sprintf("seed/%d/%d", a.n, a.starts))),
-		"limits":      map[string]any{"cores": s.Limits.Cores, "memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets},
-		"peer_listen": a.peerListen, "peers": peers, "known": known,
+		"limits":    map[string]any{"cores": s.Limits.Cores, "memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets},
+		"dial_from": from, "peer_listen": a.peerListen, "peers": peers, "known": known,
 		"settings": map[string]any{
 			"Balancers": len(l.agents), "Me": a.n, "Zone": a.n % len(s.Fleet.Zones), "Dcs": s.Fleet.Zones, "Regions": regions, "Kinds": names,
 			"Clients": map[string]any{"MarksRetry": true}, "CountedBy": "request", "FamilyInfo": map[string]any{"WarmKeys": true},
 			"Contract": map[string]any{"AskWithinMs": 10000, "ColdFrom": s.World.ColdFrom[0], "DrainGraceMs": ms(drainGrace),
 				"FallMs": ms(s.World.FallWindow.D()), "FallMultiple": s.World.FallMultiple, "GraceToAnswerMs": 20, "RampTimeMs": s.World.RampS[1] * 1e3},
 			"Goal":          map[string]any{"Whole": 0.5, "WorstClass": 0.1, "WorstTenant": 0.1, "WorstWindow": 0.3},
-			"KindOfService": "mesh", "MembershipMode": "automatic", "OverShareWorth": s.Load.OverShare,
+			"KindOfService": "mesh", "MembershipMode": mode, "OverShareWorth": s.Load.OverShare,
 			"PolicyLimits": map[string]any{"Cancel": true, "ConnectTimeoutMs": ms(connectTimeout), "IdleCloseMs": ms(idleClose), "MaxOpen": 100000,
 				"MaxRetryAfterMs": 2000, "MayProbe": true, "Peers": len(l.agents) > 1, "RetryAfter": true, "SecondCopies": true,
 				"StreamsPerConn": 1, "TryLimit": 5},
--- /dev/null
+++ b/internal/lab/shared.go
@@ -0,0 +1,309 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"brookferry/internal/lab/check"
+	"brookferry/internal/lab/link"
+	"brookferry/internal/lab/scenario"
+	"brookferry/internal/residency"
+)
+
+// What agents of a fleet share is judged from outside: each writes a line for every fact that it saw or used and for
+// every part of the limit that it took, with the time on the wall, which is one clock for all of them here.
+
+const traceName = "fleet.trace"
+
+// factBounds are the bounds that agents are configured with, by kind.
+var factBounds = map[string]time.Duration{"service": 5 * time.Second, "distance": 3 * time.Second, "residency": 10 * time.Second, "gone": 3 * time.Second}
+
+const (
+	ageSlack = 50 * time.Millisecond // of writing lines, and of the first message between two processes
+	partMost = 1.1                   // of the limit, by all agents together
+)
+
+// together is what an agent is told of its fleet. The lock is held.
+func (l *Lab) together(a *agent) (fleet, policy map[string]any) {
+	s := &l.Scenario.Shared
+	if !s.On {
+		return nil, nil
+	}
+	var seeds []string
+	for i := range min(3, len(l.agents)) {
+		seeds = append(seeds, l.fleetLink(i*len(l.agents)/3%len(l.agents)))
+	}
+	ages := map[string]any{}
+	for kind, d := range factBounds {
+		ages[kind] = d.Seconds() * 1e3
+	}
+	lists := "own"
+	if s.Relayed {
+		lists = "relayed"
+	}
+	fleet = map[string]any{"listen": l.fleetAddr(a.n), "advertise": l.fleetLink(a.n), "seeds": seeds, "label": fmt.Sprintf("lab-%d", l.Seed),
+		"most": len(l.agents), "lists": lists, "list_rate": l.Scenario.Lists.Rate, "matrix": s.Matrix, "max_age_ms": ages,
+		"trace": filepath.Join(a.dir, traceName)}
+	if s.Policy == "" {
+		return fleet, nil
+	}
+	policy = map[string]any{"bound_ms": s.Bound.D().Seconds() * 1e3, "state": filepath.Join(a.dir, "residency")}
+	if a.n < s.Sources {
+		policy["policy"] = l.policyFile(a)
+	}
+	return fleet, policy
+}
+
+func (l *Lab) policyFile(a *agent) string { return filepath.Join(a.dir, "policy.toml") }
+
+// firstPolicy gives the policy that holds at the start.
+func (l *Lab) firstPolicy() error {
+	s := &l.Scenario.Shared
+	if s.Policy == "" {
+		return nil
+	}
+	l.resident = &check.Residency{Bound: s.Bound.D() + pauseSlack}
+	for _, a := range l.agents[:s.Sources] {
+		if err := os.MkdirAll(a.dir, 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(l.policyFile(a), []byte(s.Policy), 0o644); err != nil {
+			return err
+		}
+	}
+	return l.inForce(0, s.Policy)
+}
+
+// inForce tells the checker of a policy. Two under one version hold together.
+func (l *Lab) inForce(now time.Duration, text string) error {
+	p, err := residency.Parse("policy", text)
+	if err != nil {
+		return err
+	}
+	h := residency.NewHolder(l.Scenario.Fleet.Zones, time.Hour, true, quietLog, nil)
+	if err := h.Take(p.Version, text); err != nil {
+		return err
+	}
+	l.resident.Give(now, p.Version, func(tenant, class, zone int) bool {
+		rule := h.Rule(tenants[tenant].name, classes[class].name) // before the table that has it
+		return h.Table().Permits(rule, zone)
+	})
+	return nil
+}
+
+// givePolicy has operators give a policy to sources. The lock is held.
+func (l *Lab) givePolicy(i int, f *scenario.Fault, now time.Duration) {
+	for _, a := range l.pickAgents(i, f.Who) {
+		file := l.policyFile(a)
+		err := os.WriteFile(file+".new", []byte(f.Text), 0o644)
+		if err == nil {
+			err = os.Rename(file+".new", file)
+		}
+		if err != nil {
+			l.fail(err)
+		}
+	}
+	if err := l.inForce(now, f.Text); err != nil {
+		l.fail(err)
+	}
+}
+
+// Shared is what a fleet's agents shared, as seen from outside.
+type Shared struct {
+	Ages     map[string]P   `json:"age_at_use_ms"`
+	Used     map[string]int `json:"used"`
+	Past     int            `json:"past_bound"` // uses of facts that were older than their bound
+	First    string         `json:"first,omitempty"`
+	Parts    float64        `json:"parts_most"` // the greatest sum of parts of the limit, 1 is all
+	Bytes    float64        `json:"bytes_per_s_per_agent"`
+	Matrix   *MatrixError   `json:"matrix,omitempty"`
+	Unserved int            `json:"agents_without_part"`
+}
+
+// MatrixError is how far the agents' matrices were from the lab's ways, where nothing had changed for 3 s.
+type MatrixError struct {
+	P50     float64 `json:"p50"` // share of the true round trip, or of 2 ms where that is less
+	P99     float64 `json:"p99"`
+	Entries int     `json:"entries"`
+}
+
+type traceLine struct {
+	At          int64              `json:"at"`
+	What        string             `json:"what"`
+	Kind        string             `json:"kind"`
+	Observer    string             `json:"observer"`
+	Subject     string             `json:"subject"`
+	Incarnation uint64             `json:"incarnation"`
+	Seq         uint64             `json:"seq"`
+	Age         int64              `json:"age"`
+	Part        *float64           `json:"part"`
+	Matrix      map[string]float64 `json:"matrix"`
+}
+
+type partAt struct {
+	at    int64
+	agent int
+	part  float64
+}
+
+// sharedReport reads what the agents wrote. The lock is held.
+func (l *Lab) sharedReport() *Shared {
+	if !l.Scenario.Shared.On {
+		return nil
+	}
+	r := &Shared{Ages: map[string]P{}, Used: map[string]int{}}
+	l.fleet.mu.Lock()
+	r.Bytes = float64(l.fleet.bytes) / max(1, l.now().Seconds()) / float64(len(l.agents))
+	l.fleet.mu.Unlock()
+	told := map[string]int64{}
+	name := func(x *traceLine) string {
+		return fmt.Sprint(x.Kind, " ", x.Observer, " ", x.Subject, " ", x.Incarnation, " ", x.Seq)
+	}
+	begin := l.wall(0).UnixMicro()
+	var parts []partAt
+	var errors []float64
+	var uses []traceLine
+	for _, a := range l.agents {
+		f, err := os.Open(filepath.Join(a.dir, traceName))
+		if err != nil {
+			r.Unserved++
+			continue
+		}
+		lines := bufio.NewScanner(f)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			var x traceLine
+			if json.Unmarshal(lines.Bytes(), &x) != nil {
+				continue // cut off by a kill
+			}
+			switch {
+			case x.Part != nil:
+				parts = append(parts, partAt{x.At, a.n, *x.Part})
+			case x.Matrix != nil:
+				errors = append(errors, l.matrixErrors(x.At, x.Matrix)...)
+			case x.What == "tell":
+				told[name(&x)] = x.At
+			case x.What == "use":
+				uses = append(uses, x)
+			}
+		}
+		f.Close()
+	}
+	ages := map[string]*hdrhistogram.Histogram{}
+	for i := range uses {
+		x := &uses[i]
+		at, known := told[name(x)]
+		if !known {
+			continue // its line went with a kill
+		}
+		age := time.Duration(x.At-at) * time.Microsecond
+		if ages[x.Kind] == nil {
+			ages[x.Kind] = hdrhistogram.New(1, 3600e3, 3)
+		}
+		_ = ages[x.Kind].RecordValue(max(1, age.Milliseconds())) // within an hour
+		r.Used[x.Kind]++
+		if age > factBounds[x.Kind]+ageSlack {
+			if r.Past++; r.First == "" {
+				r.First = fmt.Sprintf("%s was used %v old, bound %v", name(x), age, factBounds[x.Kind])
+			}
+		}
+	}
+	for kind, h := range ages {
+		r.Ages[kind] = P{float64(h.ValueAtQuantile(50)), float64(h.ValueAtQuantile(99)), float64(h.Max())}
+	}
+	r.Parts = l.sumOfParts(parts, begin)
+	if len(errors) > 0 {
+		slices.Sort(errors)
+		r.Matrix = &MatrixError{P50: errors[len(errors)/2], P99: errors[int(0.99*float64(len(errors)-1))], Entries: len(errors)}
+	}
+	return r
+}
+
+// sumOfParts is the greatest sum of the parts that living processes had at a time after the run's begin.
+func (l *Lab) sumOfParts(parts []partAt, begin int64) (most float64) {
+	for _, d := range l.downs { // a process that ended has no part
+		parts = append(parts, partAt{l.wall(d.at).UnixMicro(), d.agent, 0})
+	}
+	slices.SortStableFunc(parts, func(a, b partAt) int { return int(a.at - b.at) })
+	now, sum := map[int]float64{}, 0.0
+	for _, p := range parts {
+		if p.at >= begin {
+			most = max(most, sum) // what held until then, and from the run's begin on
+		}
+		sum += p.part - now[p.agent]
+		now[p.agent] = p.part
+	}
+	return max(most, sum)
+}
+
+type down struct {
+	at    time.Duration
+	agent int
+}
+
+// settled is how long the ways must have been as they are before a matrix is held against them.
+const settled = 3 * time.Second
+
+// matrixErrors holds a matrix against the ways as they were then. The lock is held.
+func (l *Lab) matrixErrors(at int64, m map[string]float64) (list []float64) {
+	t := time.Duration(at-l.wall(0).UnixMicro()) * time.Microsecond
+	for i, w := range l.distances {
+		if t >= w.at && (i+1 == len(l.distances) || t < l.distances[i+1].at) {
+			if t < w.at+settled || t < settled {
+				return nil
+			}
+			for pair, trip := range m {
+				a, b, _ := strings.Cut(pair, " ")
+				if want := w.trips[a+" "+b]; want > 0 && trip > 0 {
+					list = append(list, math.Abs(trip/1e3-want)/max(want, 2))
+				}
+			}
+		}
+	}
+	return list
+}
+
+// waysAt are the round trips between sites from a time on, ms, by the jitter's middle.
+type waysAt struct {
+	at    time.Duration
+	trips map[string]float64
+}
+
+// noteWays keeps how far sites are from each other now. The lock is held.
+func (l *Lab) noteWays(now time.Duration) {
+	if !l.Scenario.Shared.Matrix {
+		return
+	}
+	w := waysAt{now, map[string]float64{}}
+	zones := l.Scenario.Fleet.Zones
+	first := map[int]int{}
+	for _, a := range slices.Backward(l.agents) {
+		first[l.zone(party(link.Agent, a.n))] = a.n
+	}
+	for i, x := range zones {
+		for j, y := range zones {
+			from, to := party(link.Member, first[i]), party(link.Member, first[j])
+			one := func(a, b link.Party) float64 {
+				f := l.net.Fault(a, b, link.UDP)
+				if f.Cut {
+					return -1e9
+				}
+				// Probes keep a low quantile of the jitter.
+				return float64(l.way(a, b))*(1+0.3*l.Scenario.World.Jitter)/1e6 + f.Delay.Seconds()*1e3
+			}
+			if i != j {
+				w.trips[x+" "+y] = one(from, to) + one(to, from)
+			}
+		}
+	}
+	l.distances = append(l.distances, w)
+}
--- /dev/null
+++ b/internal/lab/shared_test.go
@@ -0,0 +1,127 @@
+package lab
+
+import (
+	"strings"
+	"testing"
+
+	"brookferry/internal/lab/check"
+)
+
+// policy is a residency policy in a test scenario: all are bound, at first to two zones, later to one of them.
+func policy(version string, permitted string) string {
+	return "'''\nversion = " + version + `
+[regions]
+riga = ["riga-ziepniekkalns"]
+second = ["riga-purvciems"]
+[others]
+permitted = [` + permitted + `]
+'''
+`
+}
+
+const shared = `
+[shared]
+on = true
+bound = "500ms"
+`
+
+func tightened(text string) string {
+	return text + shared + "policy = " + policy("1", `"riga", "second"`) + "[[fault]]\nat = \"1s\"\nwhat = \"policy\"\nwho = \"agents n=0\"\ntext = " + policy("2", `"riga"`)
+}
+
+// The checkers of what agents share find what they are there for, and nothing where nothing is wrong.
+func TestCheckersOfSharedState(t *testing.T) {
+	restart := "[[fault]]\nat = \"800ms\"\nwhat = \"kill\"\nwho = \"agents n=1\"\nrestart = \"kept\"\n"
+	for _, c := range []struct{ mode, text, verdict, rule string }{
+		{"resides", tightened(small) + restart, Kept, ""},
+		{"leaks", tightened(small), Broken, check.RuleResidency},
+		{"leaks-on-repeat", tightened(small), Broken, check.RuleResidency},
+		{"leaks-after-change", tightened(small), Broken, check.RuleResidency},
+		{"leaks-after-restart", tightened(small) + restart, Broken, check.RuleResidency},
+		{"honest", small + shared, Kept, ""},
+		{"uses-old", small + shared, Broken, ""},
+		{"takes-two-parts", small + shared, Broken, ""},
+	} {
+		t.Run(c.mode, func(t *testing.T) {
+			t.Parallel()
+			r := playOut(t, options(t, c.mode, c.text))
+			if r.Verdict != c.verdict {
+				t.Fatalf("%s, want %s; first: %+v, crash: %s, shared %+v", r.Verdict, c.verdict, r.Rules.First, r.Crash, r.Shared)
+			}
+			if c.rule != "" && r.Rules.ByRule[c.rule] == 0 {
+				t.Errorf("broken rules: %v, want %s", r.Rules.ByRule, c.rule)
+			}
+			if broken := c.mode == "uses-old"; broken != (r.Shared.Past > 0) {
+				t.Errorf("%d uses past the bound", r.Shared.Past)
+			}
+			if broken := c.mode == "takes-two-parts"; broken != (r.Shared.Parts > partMost) {
+				t.Errorf("parts sum up to %v", r.Shared.Parts)
+			}
+		})
+	}
+}
+
+// six is a fleet of real agents that share what they know.
+const six = `
+for = "7s"
+settle = "100ms"
+[fleet]
+agents = 6
+backends = 9
+pod = 3
+[load]
+rate = 60
+of = 0.2
+[lists]
+notice_s = [0.05, 0.1]
+silent_s = [0.5, 0.6]
+add_s = [0.05, 0.1]
+[limits]
+late_ms = 60000
+`
+
+// Real agents that share what they know keep every rule, use nothing past its bound and never take more than the limit
+// together, through faults between several processes.
+func TestRealAgentsShareSafely(t *testing.T) {
+	asked := strings.Replace(six, "[lists]", "[lists]\nasked = true\nknown = \"none\"\nrate = 20", 1)
+	relayed := "[shared]\non = true\nrelayed = true\n"
+	matrix := "[shared]\non = true\nmatrix = true\n"
+	for name, c := range map[string]struct {
+		text string
+		also func(t *testing.T, r *Report)
+	}{
+		"cold start": {asked + relayed + "[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nwho = \"agents\"\nafter = \"100ms\"\n", func(t *testing.T, r *Report) {
+			if r.Lists.PerAgent > 1.3 || r.Lists.Calls == 0 {
+				t.Errorf("%d calls, %v for each start", r.Lists.Calls, r.Lists.PerAgent)
+			}
+		}},
+		"own lists":    {asked + "[shared]\non = true\n[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nwho = \"agents share=0.7\"\nafter = \"100ms\"\n", nil},
+		"relays stop":  {asked + relayed + "[[fault]]\nat = \"1s\"\nfor = \"3s\"\nwhat = \"stop\"\nwho = \"agents n=0,1,2\"\n", nil},
+		"dark service": {strings.Replace(asked, `known = "none"`, `known = "now"`, 1) + relayed + "[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nwho = \"agents\"\nafter = \"100ms\"\n[[fault]]\nat = \"1s\"\nfor = \"2s\"\nwhat = \"list-silent\"\n", nil},
+		"some stay dead": {six + matrix + "[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nwho = \"agents n=4,5\"\nrestart = \"never\"\n", func(t *testing.T, r *Report) {
+			if r.Shared.Used["gone"] == 0 {
+				t.Error("nobody was told to be gone")
+			}
+		}},
+		"cut between agents": {six + matrix + "[[fault]]\nat = \"1s\"\nfor = \"4s\"\nwhat = \"link\"\nfrom = \"agents zone=0\"\nto = \"agents zone=1,2\"\nboth = true\ncut = true\n", func(t *testing.T, r *Report) {
+			if r.Shared.Used["distance"] == 0 {
+				t.Error("no round trip was told")
+			}
+		}},
+		"bound tenants": {strings.Replace(strings.Replace(tightened(six), "of = 0.2", "of = 0.1", 1), `bound = "500ms"`, `bound = "2s"`, 1) + "[[fault]]\nat = \"2s\"\nwhat = \"kill\"\nwho = \"agents n=0,3\"\nrestart = \"kept\"\n", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := playOut(t, options(t, "real", c.text))
+			if r.Verdict != Kept {
+				t.Fatalf("%s: %+v %s; shared %+v", r.Verdict, r.Rules.First, r.Crash, r.Shared)
+			}
+			if r.ServedInAim == 0 {
+				t.Error("nothing was served")
+			}
+			if c.also != nil {
+				c.also(t, r)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/starts.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"slices"
+	"time"
+)
+
+// busiest is how many connections one backend was opened in one second, at the most. The lock is held.
+func (l *Lab) busiest() (most int) {
+	settle := l.Scenario.Settle.D() / time.Second
+	for _, h := range l.hosts {
+		h.mu.Lock()
+		for second, n := range h.opened {
+			if second >= settle {
+				most = max(most, n)
+			}
+		}
+		h.mu.Unlock()
+	}
+	return most
+}
+
+// readyTimes are how long processes that were started again took until they took clients. The lock is held.
+func (l *Lab) readyTimes() P {
+	if len(l.starts) == 0 {
+		return P{}
+	}
+	list := slices.Sorted(slices.Values(l.starts))
+	at := func(q float64) float64 { return list[int(q*float64(len(list)-1)+0.5)].Seconds() * 1e3 }
+	return P{at(0.5), at(0.99), at(0.999)}
+}
+
+// recovered is the time from the first fault on after which three seconds in a row are served at 95% or more of what was
+// served before it; nil: there is no fault or nothing before it, -1: that never came. The lock is held.
+func (l *Lab) recovered() *float64 {
+	if len(l.Scenario.Faults) == 0 {
+		return nil
+	}
+	first := l.Scenario.Faults[0].At.D()
+	for _, f := range l.Scenario.Faults {
+		first = min(first, f.At.D())
+	}
+	from, to := int(l.Scenario.Settle.D()/time.Second), int(first/time.Second)
+	if to <= from {
+		return nil
+	}
+	served := func(a, b int) float64 {
+		worth, in := 0.0, 0.0
+		for i := a; i < b && i < len(l.tally.Windows); i++ {
+			worth, in = worth+l.tally.Windows[i].Worth, in+l.tally.Windows[i].InAim
+		}
+		return share(in, worth)
+	}
+	before, never := served(from, to), -1.0
+	bad := false
+	for i := to; i+3 <= len(l.tally.Windows); i++ {
+		if served(i, i+1) < 0.95*before {
+			bad = true
+		} else if bad && served(i+1, i+2) >= 0.95*before && served(i+2, i+3) >= 0.95*before {
+			after := float64(i) - first.Seconds()
+			return &after
+		}
+	}
+	if !bad {
+		never = 0
+	}
+	return &never
+}
