--- a/cmd/martenbeam/compare.go
+++ b/cmd/martenbeam/compare.go
@@ -20,7 +20,8 @@
 
 type compareCmd struct {
 	Scenario string  `arg:"" help:"A built-in scenario's name, or a .toml file."`
-	A        string  `help:"The agent's program to compare with." required:"" placeholder:"PATH"`
+	A        string  `help:"The agent's program to compare with. Default: this program's agent, which makes sense with --apart." placeholder:"PATH"`
+	Apart    bool    `help:"The agents of A share nothing, those of B what the scenario says."`
 	B        string  `help:"The other one; the difference is B less A. Default: this program's agent." placeholder:"PATH"`
 	Seeds    string  `help:"Seeds, such as 1-5 or 1,4,9. Both versions play each." default:"1-5"`
 	Parallel int     `help:"Pairs played at a time. More than the processors bear shows as void runs." default:"1"`
@@ -57,6 +58,9 @@
 	if err != nil {
 		return usageError{err}
 	}
+	if c.A == "" && !c.Apart {
+		return usageError{fmt.Errorf("--a: name a program to compare with, or --apart for this one whose agents share nothing")}
+	}
 	if c.Parallel < 1 {
 		return usageError{fmt.Errorf("--parallel: %d is not at least 1", c.Parallel)}
 	}
@@ -138,7 +142,8 @@
 		order = []string{"b", "a"}
 	}
 	for _, side := range order {
-		f := fleetFlags{Agents: c.Agents, Backends: c.Backends, Rate: c.Rate, AgentBin: map[string]string{"a": c.A, "b": c.B}[side]}
+		f := fleetFlags{Agents: c.Agents, Backends: c.Backends, Rate: c.Rate, AgentBin: map[string]string{"a": c.A, "b": c.B}[side],
+			Apart: c.Apart && side == "a"}
 		s, err := scenario.Read(c.Scenario)
 		if err == nil {
 			err = f.apply(s)
--- a/cmd/martenbeam/lab.go
+++ b/cmd/martenbeam/lab.go
@@ -45,6 +45,7 @@
 	Backends int           `help:"Backends. 0: as the scenario says." placeholder:"N"`
 	Rate     float64       `help:"Requests a second over all agents. 0: as the scenario says." placeholder:"R"`
 	For      time.Duration `help:"How long clients send, such as 20s. 0: as the scenario says." placeholder:"D"`
+	Apart    bool          `help:"The agents share nothing: no fleet, no policy."`
 	AgentBin string        `help:"Another agent's program, started as the platform does. Default: this one." placeholder:"PATH"`
 	Dir      string        `help:"Where agents have their files; kept. Default: a temporary folder, removed." placeholder:"DIR"`
 }
@@ -63,6 +64,9 @@
 	if f.For != 0 {
 		s.Stretch(f.For)
 	}
+	if f.Apart {
+		s.Apart()
+	}
 	return s.Check()
 }
 
--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -1,7 +1,7 @@
 // Package fact keeps what the processes of a fleet know together: facts, each with its observer and its age.
 //
-// An age is a sum of monotonic spans: the observer's since it saw, each keeper's since it heard, and what the message
-// took beyond the quickest one of its sender (transit.go). No wall clock is read. Nothing is used past its bound, and a
+// An age is a sum of monotonic spans: the observer's since it saw, each keeper's since it heard, and what each message
+// took on the way at the most (transit.go). No wall clock is read. Nothing is used past its bound, and a
 // process that was stopped drops what it held.
 package fact
 
@@ -105,10 +105,19 @@
 		trace = func(Use) {}
 	}
 	return &Store{self: self, incarnation: incarnation, bounds: bounds, trace: trace, born: now, ticked: now,
-		facts: map[key]*held{}, seqs: map[key]uint64{}, transit: transit{from: map[string]*offset{}},
+		facts: map[key]*held{}, seqs: map[key]uint64{}, transit: transit{from: map[string]*offset{}, trips: map[string]time.Duration{}},
 		ages: map[Kind]*hdrhistogram.Histogram{}, refused: map[Kind]int{}}
 }
 
+// Trip takes a round trip to another member that was measured.
+func (s *Store) Trip(member string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.transit.trips[member]; known || len(s.transit.trips) < mostSender {
+		s.transit.trips[member] = d
+	}
+}
+
 // Tick is called each TickEvery: that it was not tells of a stop.
 func (s *Store) Tick() {
 	s.mu.Lock()
@@ -180,11 +189,8 @@
 			continue
 		}
 		if old != nil {
-			if order := cmp.Or(cmp.Compare(f.Incarnation, old.Incarnation), cmp.Compare(f.Seq, old.Seq)); order < 0 ||
-				order == 0 && f.Age >= old.age(now) {
-				continue
-			} else if order == 0 { // the same by a quicker way: it has been passed on
-				old.Age, old.at = f.Age, now
+			// The same by another way that looks quicker stays as it is: the younger of two estimates is the one that may be wrong.
+			if cmp.Or(cmp.Compare(f.Incarnation, old.Incarnation), cmp.Compare(f.Seq, old.Seq)) <= 0 {
 				continue
 			}
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,6 +107,7 @@
 			f.gossip.Add(int64(len(data)))
 			return data
 		},
+		Trip: f.facts.Trip,
 		Turn: func() {
 			select {
 			case f.turn <- struct{}{}:
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -59,9 +59,10 @@
 	Meta      Meta
 	Log       *slog.Logger
 
-	Hear   func(data []byte)               // facts of another member
-	Gossip func(limit, members int) []byte // facts for another member; nil: none
-	Turn   func()                          // who is there has changed; must not wait
+	Hear   func(data []byte)                  // facts of another member
+	Gossip func(limit, members int) []byte    // facts for another member; nil: none
+	Trip   func(name string, d time.Duration) // a round trip to another member
+	Turn   func()                             // who is there has changed; must not wait
 	Probe  func(data []byte, from netip.AddrPort, at time.Time)
 	Call   func(net.Conn) // an HTTP call
 }
@@ -75,13 +76,14 @@
 	t    *transport
 	list *memberlist.Memberlist
 
-	mu       sync.Mutex
-	members  map[string]Member
-	dead     map[string]Member // failed without a goodbye, by name
-	met      int               // others ever met
-	phase    Phase
-	conflict bool // another process has this one's name
-	leave    chan struct{}
+	mu        sync.Mutex
+	members   map[string]Member
+	dead      map[string]Member // failed without a goodbye, by name
+	met       int               // others ever met
+	phase     Phase
+	conflict  bool // another process has this one's name, and this one leaves
+	conflicts int  // how often that was heard of
+	leave     chan struct{}
 }
 
 // New listens. It says nothing before Run.
@@ -111,6 +113,7 @@
 func (l *List) settings() *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.Label, c.Delegate, c.Events, c.Conflict = l.cfg.Name, l.t, l.cfg.Label, (*delegate)(l), (*delegate)(l), (*delegate)(l)
+	c.Ping = (*delegate)(l)
 	c.BindPort, c.AdvertisePort = int(l.t.advertise.Port()), int(l.t.advertise.Port())
 	c.Logger = log.New(logLines{l.cfg.Log}, "", 0)
 	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = 500*time.Millisecond, 250*time.Millisecond, 3
@@ -296,6 +299,11 @@
 	return nil
 }
 
+func (d *delegate) AckPayload() []byte { return nil }
+func (d *delegate) NotifyPingComplete(n *memberlist.Node, rtt time.Duration, _ []byte) {
+	d.cfg.Trip(n.Name, rtt)
+}
+
 func (d *delegate) LocalState(bool) []byte        { return nil }
 func (d *delegate) MergeRemoteState([]byte, bool) {}
 
@@ -355,7 +363,8 @@
 	l.cfg.Turn()
 }
 
-// NotifyConflict has the one of two processes with one name leave that has the higher address.
+// NotifyConflict has the one of two processes with one name leave that started later. Clocks may say otherwise, and the
+// other may not hear of it: who hears of it again and again leaves, too.
 func (d *delegate) NotifyConflict(existing, other *memberlist.Node) {
 	l := (*List)(d)
 	if existing.Name != l.cfg.Name {
@@ -364,12 +373,15 @@
 	m, ok := l.read(other)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if ok && !l.conflict && m.Addr.Compare(l.t.advertise) < 0 {
-		l.conflict = true
-		close(l.leave)
+	if l.conflicts++; !ok || l.conflict || l.cfg.Meta.Started < m.Started && l.conflicts < mostConflicts {
+		return
 	}
+	l.conflict = true
+	close(l.leave)
 }
 
+const mostConflicts = 5
+
 // logLines has memberlist's log go where ours goes. What it warns of is its daily work.
 type logLines struct{ log *slog.Logger }
 
@@ -377,3 +389,6 @@
 	w.log.Debug("memberlist", "line", string(bytes.TrimSpace(p)))
 	return len(p), nil
 }
+
+// Abort closes the sockets without a word, as a kill would.
+func (l *List) Abort() error { return l.t.Shutdown() }
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -25,6 +25,7 @@
 	{"cross_zone_share", func(r *Report) float64 { return r.CrossZone }, false},
 	{"recovered_after_s", recoveredFigure, false},
 	{"connections_worst_s", func(r *Report) float64 { return float64(r.Dials) }, false},
+	{"list_calls_per_start", listFigure, false},
 	{"latency_p50_ms", func(r *Report) float64 { return r.Latency.P50 }, false},
 	{"latency_p99_ms", func(r *Report) float64 { return r.Latency.P99 }, false},
 }
@@ -52,6 +53,14 @@
 	return *r.Recovered
 }
 
+// listFigure is how often the list service was called for each start of an agent.
+func listFigure(r *Report) float64 {
+	if r.Lists == nil {
+		return 0
+	}
+	return r.Lists.PerAgent
+}
+
 // Pair is one seed played with both versions.
 type Pair struct {
 	Seed uint64  `json:"seed"`
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -149,7 +149,7 @@
 		numbers = append(numbers, l.net.Add(r))
 	}
 	l.gates()
-	l.noteWays(now)
+	l.changed = append(l.changed, now)
 	end := now + f.For.D()
 	if f.For == 0 {
 		end = time.Hour
@@ -172,7 +172,7 @@
 			l.net.Remove(n)
 		}
 		l.gates()
-		l.noteWays(now)
+		l.changed = append(l.changed, now)
 		l.unpark(now)
 		l.disc.stir()
 	})
--- a/internal/lab/fleetlinks.go
+++ b/internal/lab/fleetlinks.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,10 +27,16 @@
 	mu    sync.Mutex
 	bytes int // told between agents
 	conns map[net.Conn]bool
+	took  map[wayKey][]time.Duration // what datagrams took here, at most mostTook
 }
 
+// wayKey names datagrams from one zone to another in a second of the run.
+type wayKey struct{ from, to, second int }
+
+const mostTook = 300
+
 func newFleetLinks(l *Lab) (*fleetLinks, error) {
-	f := &fleetLinks{lab: l, mine: map[netip.Addr]*agent{}, conns: map[net.Conn]bool{}}
+	f := &fleetLinks{lab: l, mine: map[netip.Addr]*agent{}, conns: map[net.Conn]bool{}, took: map[wayKey][]time.Duration{}}
 	for _, a := range l.agents {
 		f.mine[netip.MustParseAddr(l.block.agent(a.n))] = a
 		ip := net.ParseIP(l.block.world(a.n))
@@ -76,6 +83,7 @@
 	buf := make([]byte, 64<<10)
 	for n := 0; ; n++ {
 		size, addr, err := f.udp[to.n].ReadFromUDPAddrPort(buf)
+		came := time.Now()
 		if err != nil {
 			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
@@ -95,12 +103,36 @@
 		for _, d := range l.net.Way(party(link.Member, from.n), party(link.Member, to.n), link.UDP, fmt.Sprintf("fleet/%d/%d/%d", from.n, to.n, n)) {
 			l.at(now+d, func(time.Duration) {
 				_, _ = f.udp[from.n].WriteToUDPAddrPort(data, target) // a receiver that is gone misses it
+				f.note(wayKey{l.zone(party(link.Member, from.n)), l.zone(party(link.Member, to.n)), int(now / time.Second)}, time.Since(came))
 			})
 		}
 		l.mu.Unlock()
 	}
 }
 
+// note keeps what a datagram really took: the lab's own lateness is part of the way.
+func (f *fleetLinks) note(k wayKey, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.took[k]) < mostTook {
+		f.took[k] = append(f.took[k], took)
+	}
+}
+
+// oneWay is the lower quartile of what datagrams took from one zone to another in the two seconds before a time; false: too
+// few were on the way.
+func (f *fleetLinks) oneWay(from, to int, at time.Duration) (time.Duration, bool) {
+	second := int(at / time.Second)
+	f.mu.Lock()
+	list := slices.Concat(f.took[wayKey{from, to, second - 1}], f.took[wayKey{from, to, second - 2}])
+	f.mu.Unlock()
+	if len(list) < 20 {
+		return 0, false
+	}
+	slices.Sort(list)
+	return list[len(list)/4], true
+}
+
 func (f *fleetLinks) carryStreams(to *agent) {
 	l := f.lab
 	for {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -64,7 +64,7 @@
 	fleet     *fleetLinks      // nil: agents have no fleet
 	resident  *check.Residency // nil: no policy is in force
 	downs     []down           // ends of processes
-	distances []waysAt         // between sites, as they changed
+	changed   []time.Duration  // when the network did
 	starts    []time.Duration  // that processes took from their start until they took clients
 	attempts  map[uint64]*attempt
 	pods      map[podKey]bool // keys that pods have met
@@ -306,7 +306,7 @@
 		l.Ready(l)
 	}
 	l.mu.Lock()
-	l.noteWays(0)
+	l.changed = append(l.changed, 0)
 	l.schedule()
 	l.everySecond(0)
 	l.mu.Unlock()
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -423,6 +423,12 @@
 	return (len(s.Zones) == 0 || slices.Contains(s.Zones, zone)) && (len(s.Numbers) == 0 || slices.Contains(s.Numbers, n))
 }
 
+// Apart has the agents share nothing: what is left is how each does alone.
+func (s *Scenario) Apart() {
+	s.Shared = Shared{}
+	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.What == Policy })
+}
+
 // Stretch changes a run's length; the schedule keeps its place in it.
 func (s *Scenario) Stretch(to time.Duration) {
 	by := float64(to) / float64(s.For)
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -8,13 +8,11 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"brookferry/internal/lab/check"
-	"brookferry/internal/lab/link"
 	"brookferry/internal/lab/scenario"
 	"brookferry/internal/residency"
 )
@@ -251,59 +249,28 @@
 }
 
 // settled is how long the ways must have been as they are before a matrix is held against them.
-const settled = 3 * time.Second
+const settled = 3500 * time.Millisecond
 
-// matrixErrors holds a matrix against the ways as they were then. The lock is held.
+// matrixErrors holds a matrix against what datagrams took between the zones of late, both ways: as a share of it, or of
+// 2 ms where that is less. Where the ways have changed of late it says nothing. The lock is held.
 func (l *Lab) matrixErrors(at int64, m map[string]float64) (list []float64) {
 	t := time.Duration(at-l.wall(0).UnixMicro()) * time.Microsecond
-	for i, w := range l.distances {
-		if t >= w.at && (i+1 == len(l.distances) || t < l.distances[i+1].at) {
-			if t < w.at+settled || t < settled {
-				return nil
-			}
-			for pair, trip := range m {
-				a, b, _ := strings.Cut(pair, " ")
-				if want := w.trips[a+" "+b]; want > 0 && trip > 0 {
-					list = append(list, math.Abs(trip/1e3-want)/max(want, 2))
-				}
-			}
+	for _, c := range l.changed {
+		if t >= c && t < c+settled {
+			return nil
 		}
 	}
-	return list
-}
-
-// waysAt are the round trips between sites from a time on, ms, by the jitter's middle.
-type waysAt struct {
-	at    time.Duration
-	trips map[string]float64
-}
-
-// noteWays keeps how far sites are from each other now. The lock is held.
-func (l *Lab) noteWays(now time.Duration) {
-	if !l.Scenario.Shared.Matrix {
-		return
-	}
-	w := waysAt{now, map[string]float64{}}
 	zones := l.Scenario.Fleet.Zones
-	first := map[int]int{}
-	for _, a := range slices.Backward(l.agents) {
-		first[l.zone(party(link.Agent, a.n))] = a.n
-	}
-	for i, x := range zones {
-		for j, y := range zones {
-			from, to := party(link.Member, first[i]), party(link.Member, first[j])
-			one := func(a, b link.Party) float64 {
-				f := l.net.Fault(a, b, link.UDP)
-				if f.Cut {
-					return -1e9
-				}
-				// Probes keep a low quantile of the jitter.
-				return float64(l.way(a, b))*(1+0.3*l.Scenario.World.Jitter)/1e6 + f.Delay.Seconds()*1e3
-			}
-			if i != j {
-				w.trips[x+" "+y] = one(from, to) + one(to, from)
+	for i, a := range zones {
+		for j, b := range zones {
+			trip, known := m[a+" "+b]
+			there, one := l.fleet.oneWay(i, j, t)
+			back, other := l.fleet.oneWay(j, i, t)
+			if i != j && known && trip > 0 && one && other {
+				want := (there + back).Seconds() * 1e6
+				list = append(list, math.Abs(trip-want)/max(want, 2000))
 			}
 		}
 	}
-	l.distances = append(l.distances, w)
+	return list
 }
