Have others make way for a bound tenant once its zones are busy or slow

Change: a bound request that is sent to a busy backend, or to a zone whose answers take 1.2 times the mean, has others keep out of its zones as well.

--- a/brookferry.go
+++ b/brookferry.go
@@ -185,6 +185,9 @@
 		b.finish(r)
 		return
 	}
+	if b.binds(r) && (len(t.out) > 0 || b.zone(t).pace > slowPace) {
+		b.reserve(r)
+	}
 	a := &attempt{b: t, sent: b.now, cost: max(b.expected(r), 1), open: true}
 	r.attempts = append(r.attempts, a)
 	r.open++
--- a/internal/fleet/fact/transit.go
+++ b/internal/fleet/fact/transit.go
@@ -21,7 +21,7 @@
 const (
 	driftSpan  = time.Minute // clocks drift by less than 10 ms in it
 	mostSender = 4096
-	someTrip   = 100 * time.Millisecond // to a sender to which none was measured, at least
+	someTrip   = 250 * time.Millisecond // to a sender to which none was measured, at least
 )
 
 // trip is a round trip to a sender; where none was measured, the longest to anyone.
--- a/residency.go
+++ b/residency.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	slowPace   = 1.2   // answers of a zone that take so many times the mean say that it is crowded
 	boundFirst = 100.0 // value of a bound request against another of its class while it waits for room
 	tightFor   = 2.0   // longest aims for which others keep out of the zones of a bound one that found none
 )
@@ -29,7 +30,7 @@
 	return !b.binds(r) || slices.ContainsFunc(b.backends, func(t *backend) bool { return t.State == Up && b.permits(r, t) })
 }
 
-// reserve has others keep out of the zones that a bound request waits for.
+// reserve has others keep out of the zones of a bound request that waits for them, or finds them busy or slow.
 func (b *Balancer) reserve(r *request) {
 	for i, z := range b.zones {
 		if b.permitsZone(r, i) {
@@ -40,8 +41,7 @@
 
 // aside says which zones a request that may go elsewhere keeps out of; nil: none, or it may go nowhere else.
 func (b *Balancer) aside(r *request) []bool {
-	var aside []bool
-	room := false
+	aside, room := []bool(nil), false
 	for i, z := range b.zones {
 		if room = room || z.up > 0 && b.now >= z.tight && !z.left; b.now < z.tight && !b.binds(r) {
 			if aside == nil {
