--- a/internal/fleet/distance/matrix.go
+++ b/internal/fleet/distance/matrix.go
@@ -36,8 +36,7 @@
 	return e, ok
 }
 
-// Make makes a matrix of rows. Each observer has one word on a pair, and the median of their words counts: fewer than
-// half of them can't move it out of what the others say. A row counts only from an observer of that site; whose site is
+// Make makes a matrix of rows. Each observer has one word on a pair, and the third lowest of their words counts. A row counts only from an observer of that site; whose site is
 // not known here says nothing.
 func Make(rows []fact.Fact, alive []member.Member) Matrix {
 	site := map[string]string{}
@@ -76,7 +75,7 @@
 			e.Age = max(e.Age, w.age)
 		}
 		if 2*len(trips) > len(list) {
-			e.Trip, e.Spread = median(trips), median(spreads)
+			e.Trip, e.Spread = third(trips), median(spreads)
 		}
 		e.Loss = float64(median(losses)) / 100
 		m[p] = e
@@ -84,6 +83,13 @@
 	return m
 }
 
+// third is the third lowest word, or the middle one of fewer than five: two observers that say too little are left out, and
+// all but three that say too much, as everyone does who asks a false or stopped member.
+func third(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return list[min(2, (len(list)-1)/2)]
+}
+
 func median(list []time.Duration) time.Duration {
 	slices.Sort(list)
 	return quantile(list, 0.5)
--- a/internal/fleet/distance/prober.go
+++ b/internal/fleet/distance/prober.go
@@ -22,12 +22,12 @@
 
 const (
 	observers = 5                       // of each site: two false ones are outvoted
-	pairRate  = 8.0                     // round trips a second between two sites, from either side
+	pairRate  = 16.0                    // round trips a second between two sites, from either side
 	tellEvery = time.Second             // a row
 	window    = 1500 * time.Millisecond // for which a round trip counts
 	lostAfter = 700 * time.Millisecond  // an ask without an answer by then is lost
 	mostDwell = 20 * time.Millisecond   // a far side that took longer was busy: it tells nothing of the way
-	lowAt     = 0.25                    // the quantile that stands for a pair: queues on the way only add
+	midAt     = 0.5                     // the quantile that stands for a pair: of three, one that asked a false member is left out
 	highAt    = 0.75
 	mostAsked = 1024 // asks out at once
 )
@@ -93,7 +93,7 @@
 	}
 	delete(p.asked, d.nonce)
 	dwell := time.Duration(d.dwell) * time.Microsecond
-	if trip := at.Sub(a.at); dwell <= mostDwell && dwell < trip {
+	if trip := at.Sub(a.at); dwell <= mostDwell && 2*dwell < trip { // who claims most of it was busy, or makes the way short
 		p.samples[a.site] = append(p.samples[a.site], sample{a.at, trip - dwell, false})
 	}
 }
@@ -218,7 +218,7 @@
 		}
 		e := entry{Site: site, Loss: uint8(100 * (len(list) - len(trips)) / len(list)), Count: uint16(min(len(trips), 1<<16-1))}
 		if slices.Sort(trips); len(trips) > 0 {
-			low, high := quantile(trips, lowAt), quantile(trips, highAt)
+			low, high := quantile(trips, midAt), quantile(trips, highAt)
 			e.Micros, e.Spread = uint32(max(1, low.Microseconds())), uint32((high - low).Microseconds())
 		}
 		r.Entries = append(r.Entries, e)
@@ -240,6 +240,7 @@
 	p.cfg.Facts.Tell(fact.Distance, p.cfg.Site, body)
 }
 
+// quantile is rounded down: of two the lower.
 func quantile(sorted []time.Duration, q float64) time.Duration {
-	return sorted[int(q*float64(len(sorted)-1)+0.5)]
+	return sorted[int(q*float64(len(sorted)-1))]
 }
--- a/internal/fleet/distance/wire.go
+++ b/internal/fleet/distance/wire.go
@@ -51,7 +51,7 @@
 
 type entry struct {
 	Site   string `cbor:"1,keyasint"`
-	Micros uint32 `cbor:"2,keyasint"` // a low quantile of the round trip
+	Micros uint32 `cbor:"2,keyasint"` // the median round trip
 	Spread uint32 `cbor:"3,keyasint"` // from there to a high one, us
 	Loss   uint8  `cbor:"4,keyasint"` // of 100
 	Count  uint16 `cbor:"5,keyasint"` // round trips it rests on; 0: none came back
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,7 +34,8 @@
 	Listen, Advertise   string   // addresses, UDP and TCP; Advertise may be ""
 	Seeds               []string // addresses
 	Label               string
-	Most                int // most processes that the fleet has
+	Most                int  // most processes that the fleet has
+	Await               bool // Listen may be held by an older process of this agent
 	Bounds              fact.Bounds
 	Relayed             bool    // lists come by way of a few members of a site
 	ListRate            float64 // calls a second that the list service is taken to bear at first
@@ -95,7 +96,7 @@
 	incarnation := uint64(time.Now().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
 	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
 	f.relay = newRelay(f)
-	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most,
+	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await,
 		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation}, Log: cfg.Log,
 		Hear: func(data []byte) {
 			if err := f.facts.Hear(data); err != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -290,6 +290,23 @@
 	waitFor(t, "the third policy", holds(false, true))
 }
 
+// Two processes of one agent stand side by side while the platform replaces one: the younger waits for the address.
+func TestAddressIsTakenOver(t *testing.T) {
+	t.Parallel()
+	list := fleetOf(t, 2, 2, nil)
+	held := list[1].Addr()
+	if _, err := New(Config{Name: "n1", Listen: held, Most: 2, Log: slog.New(slog.DiscardHandler)}, zones, Told{}); err == nil {
+		t.Error("an address that is taken is no error")
+	}
+	next := begin(t, Config{Name: "n1", Site: "b", Most: 2, Listen: held, Await: true}, list[0])
+	if _, err := next.list.Write([]byte("x"), list[0].list.Addr()); err == nil {
+		t.Error("it speaks without an address")
+	}
+	list[1].end()
+	<-list[1].ended
+	waitFor(t, "the younger process", func() bool { return len(next.list.Alive()) == 2 && len(list[0].list.Alive()) == 2 })
+}
+
 // What comes to the fleet's address and makes no sense harms nothing.
 func TestNonsense(t *testing.T) {
 	t.Parallel()
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -56,6 +56,7 @@
 	Seeds     []string       // addresses of others
 	Label     string         // fleets of different labels never mix
 	Most      int            // most members that the fleet has
+	Await     bool           // Listen may be held by an older process of this agent: it is waited for
 	Meta      Meta
 	Log       *slog.Logger
 
@@ -88,8 +89,8 @@
 
 // New listens. It says nothing before Run.
 func New(cfg Config) (*List, error) {
-	t, err := newTransport(cfg.Listen, cfg.Advertise)
-	if err != nil {
+	t := newTransport(cfg.Listen, cfg.Advertise)
+	if err := t.bind(); err != nil && !(cfg.Await && errors.Is(err, syscall.EADDRINUSE)) {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
 	t.probe, t.call = cfg.Probe, cfg.Call
@@ -130,6 +131,9 @@
 // Run joins the fleet and stays in it until ctx ends, and then says goodbye. Without anyone to be found it is alone,
 // and goes on asking.
 func (l *List) Run(ctx context.Context) error {
+	if !l.t.await(ctx) {
+		return l.t.Shutdown()
+	}
 	l.t.run()
 	list, err := memberlist.Create(l.settings())
 	if err != nil {
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -28,7 +29,9 @@
 // transport carries the membership's packets and streams over one address, UDP and TCP, and hands out what is not its.
 // Each connection that comes in is one task until it is known whose it is.
 type transport struct {
+	listen    netip.AddrPort
 	advertise netip.AddrPort
+	open      atomic.Bool // the sockets below are there
 	udp       *net.UDPConn
 	tcp       *net.TCPListener
 	dialer    net.Dialer
@@ -42,30 +45,59 @@
 	end       context.CancelFunc
 }
 
-func newTransport(listen, advertise netip.AddrPort) (*transport, error) {
-	t := &transport{advertise: advertise, packets: make(chan *memberlist.Packet, 256), streams: make(chan net.Conn), unread: make(chan struct{}, mostUnread),
+func newTransport(listen, advertise netip.AddrPort) *transport {
+	t := &transport{listen: listen, advertise: advertise, packets: make(chan *memberlist.Packet, 256), streams: make(chan net.Conn), unread: make(chan struct{}, mostUnread),
 		// The other side knows by the address who calls.
 		dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: listen.Addr().AsSlice()}, KeepAlive: -1}}
+	if !t.advertise.IsValid() {
+		t.advertise = listen
+	}
 	t.ctx, t.end = context.WithCancel(context.Background())
+	return t
+}
+
+// bind opens the sockets.
+func (t *transport) bind() error {
 	var err error
-	if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(listen)); err != nil {
-		return nil, err
+	if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(t.listen)); err != nil {
+		return err
 	}
-	at := listen
+	at := t.listen
 	if at.Port() == 0 {
 		at = t.tcp.Addr().(*net.TCPAddr).AddrPort()
 	}
 	if t.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
 		t.tcp.Close()
-		return nil, err
+		return err
 	}
 	_ = t.udp.SetReadBuffer(socketBuffer) // as large as the system allows
-	if !t.advertise.IsValid() {
+	if t.advertise.Port() == 0 {
 		t.advertise = at
 	}
-	return t, nil
+	t.open.Store(true)
+	return nil
+}
+
+// await binds once the address is free: an older process of this agent holds it until it ends. It reports false once ctx
+// ends.
+func (t *transport) await(ctx context.Context) bool {
+	tick := time.NewTicker(bindEvery)
+	defer tick.Stop()
+	for !t.open.Load() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+		}
+		_ = t.bind() // it is still held if it fails
+	}
+	return true
 }
 
+const bindEvery = 50 * time.Millisecond
+
+var errNotBound = errors.New("an older process holds the fleet's address")
+
 // run reads until Shutdown.
 func (t *transport) run() {
 	t.tasks.Go(t.readPackets)
@@ -164,6 +196,9 @@
 }
 
 func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	if !t.open.Load() {
+		return time.Time{}, errNotBound
+	}
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return time.Time{}, err
@@ -184,7 +219,10 @@
 
 func (t *transport) Shutdown() error {
 	t.end()
-	err := errors.Join(t.udp.Close(), t.tcp.Close())
+	var err error
+	if t.open.Load() {
+		err = errors.Join(t.udp.Close(), t.tcp.Close())
+	}
 	t.tasks.Wait()
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
--- a/internal/lab/addr.go
+++ b/internal/lab/addr.go
@@ -88,10 +88,20 @@
 func (g *gate) Accept() (net.Conn, error) {
 	for {
 		c, err := g.ln.Accept()
+		g.mu.Lock()
 		if err == nil {
+			// A call that was under way when the gate was shut may take the filler itself: the queue is filled again.
+			ours := g.filler != nil && c.RemoteAddr().String() == g.filler.LocalAddr().String()
+			if ours {
+				c.Close()
+				g.fill()
+			}
+			g.mu.Unlock()
+			if ours {
+				continue
+			}
 			return g.wrap(c), nil
 		}
-		g.mu.Lock()
 		opened, closed := g.opened, g.closed
 		g.mu.Unlock()
 		if closed || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -110,6 +120,14 @@
 	}
 }
 
+// fill has a connection of our own take the queue's only place. The lock is held.
+func (g *gate) fill() {
+	if g.filler != nil {
+		g.filler.Close()
+	}
+	g.filler, _ = net.DialTimeout("tcp4", g.ln.Addr().String(), 250*time.Millisecond) // full already if it fails
+}
+
 // setShut shuts the gate or opens it. Shut, it accepts nothing and its queue holds one connection of our own:
 // a full queue is why the kernel answers no further opening segment.
 func (g *gate) setShut(on bool) {
@@ -123,7 +141,7 @@
 		g.opened = make(chan struct{})
 		_ = g.ln.SetDeadline(time.Unix(1, 0))
 		g.backlog(0)
-		g.filler, _ = net.DialTimeout("tcp4", g.ln.Addr().String(), 50*time.Millisecond) // full already if it fails
+		g.fill()
 		return
 	}
 	if g.filler != nil {
--- a/internal/together/together.go
+++ b/internal/together/together.go
@@ -93,7 +93,7 @@
 		site = zones[z]
 	}
 	c := fleet.Config{Name: cfg.Name, Site: site, Version: version(), Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Label: f.Label,
-		Most: f.Most, Bounds: bounds, Relayed: f.Lists == "relayed", ListRate: f.ListRate, Matrix: f.Matrix, Log: log,
+		Most: f.Most, Await: cfg.ListenFD > 0, Bounds: bounds, Relayed: f.Lists == "relayed", ListRate: f.ListRate, Matrix: f.Matrix, Log: log,
 		Residency: t.holder, Source: t.file != ""}
 	if t.trace != nil {
 		c.Trace = t.trace
