--- a/distance.go
+++ b/distance.go
@@ -12,8 +12,7 @@
 	probeLoss = 0.9                    // a zone from which so few asks come back is told of as by one peer
 )
 
-// onDistances takes what was measured. Each agent heeds a change with one of the next few words of it, so that the fleet
-// moves by and by; what is not known any more falls back to the prices at once.
+// onDistances takes what was measured: a change with one of the next few words of it, so that agents move by and by.
 func (b *Balancer) onDistances(e Distances) {
 	for i, z := range b.zones[:min(len(b.zones), len(e.Trip), len(e.Loss))] {
 		off := (e.Trip[i] - z.trip).Abs()
--- a/picking.go
+++ b/picking.go
@@ -14,6 +14,7 @@
 	crossBias   = 0.1 // chance of an idle backend in another zone, if crossing is priced ...
 	spillAt     = 0.3 // ... and answers from the own zone take no longer; from so much longer on it has the same
 	nearAfter   = 4.0 // longest aims since the limit was cut from which on distance counts
+	warmMost    = 1.1 // parts of the limit that warm backends hold while others are cold
 	strikesBias = 0.1 // chance of an idle backend that has not healed yet
 )
 
@@ -25,8 +26,8 @@
 	var idle, few, last *backend
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
 	wide, closed := b.width(), b.closed(r)
-	// Cold ones take up their part of the limit slowly: what they leave is not for the warm ones, or these turn slow.
-	crowded := !b.thin() && b.warm < b.capacity && float64(b.warmOut) >= max(1, b.perBack*b.share*b.warm)
+	// Cold ones take up their part of the limit slowly: little of what they leave is for the warm ones, or these turn slow.
+	crowded := !b.thin() && b.warm < b.capacity && float64(b.warmOut) >= max(1, warmMost*b.perBack*b.share*b.warm)
 	for _, t := range b.backends {
 		if wide <= 0 {
 			break
