Have relays ask the list service among themselves, not in the turns of all who start

Cause: cold-start with 100 agents, relayed: six relays took their turns in a window for 100 starters (8 s at 12 a second), the others gave them up after 5 s and asked themselves: 0.48 calls for each start, ready p99 4.7 s.

Change: a relay's window counts the relays of all sites; who falls back to the service itself still counts everyone.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,7 +122,7 @@
 		return nil, err
 	}
 	f.prober = distance.New(distance.Config{Self: cfg.Name, Site: cfg.Site, Label: cfg.Label, Alive: f.list.Alive, Write: f.list.Write, Facts: f.facts})
-	f.pacer = start.New(start.Config{Rate: cfg.ListRate, Starters: f.starters, Met: func() bool { return f.list.Met() > 0 }, Facts: f.facts})
+	f.pacer = start.New(start.Config{Rate: cfg.ListRate, Met: func() bool { return f.list.Met() > 0 }, Facts: f.facts})
 	return f, nil
 }
 
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -200,12 +200,8 @@
 			site = append(site, m)
 		}
 	}
-	n := 1
-	if len(site) >= largeSite {
-		n = 2
-	}
 	subject := "relay " + f.cfg.Site
-	for range min(n, len(site)) {
+	for range relaysOf(len(site)) {
 		best := -1
 		for i, m := range site {
 			if best < 0 || member.Score(subject, m.Name) < member.Score(subject, site[best].Name) {
@@ -222,6 +218,7 @@
 // is none itself, and of the service in this process's turn. fails counts openings that came to nothing. It reports false
 // once ctx ends.
 func (f *Fleet) Next(ctx context.Context, fails int) (source.Source, bool) {
+	starters := f.starters
 	if f.cfg.Relayed {
 		for f.list.Met() == 0 && time.Since(f.born) < relayMet {
 			select {
@@ -238,8 +235,31 @@
 			m := list[turn%len(list)]
 			return source.Source{Addr: m.Addr.String(), Silence: relaySilence, Relayed: true}, true
 		}
+		if mine {
+			starters = f.startingRelays
+		}
+	}
+	return source.Source{}, f.pacer.Turn(ctx, starters)
+}
+
+// startingRelays counts those who ask the service for their sites: the others wait for them, and not in turn.
+func (f *Fleet) startingRelays() (n int) {
+	bySite := map[string]int{}
+	for _, m := range f.list.Alive() {
+		bySite[m.Site]++
+	}
+	for _, members := range bySite {
+		n += relaysOf(members)
+	}
+	return max(1, n)
+}
+
+// relaysOf is how many relays a site of so many members has.
+func relaysOf(members int) int {
+	if members >= largeSite {
+		return 2
 	}
-	return source.Source{}, f.pacer.Turn(ctx)
+	return min(1, members)
 }
 
 // Answered takes how an opening went: after how long the first word came, or that none did, and from which version on.
--- a/internal/fleet/start/pacer.go
+++ b/internal/fleet/start/pacer.go
@@ -37,11 +37,10 @@
 
 // Config is what a Pacer needs.
 type Config struct {
-	Rate     float64      // calls a second that the service is taken to bear at first, from all
-	Starters func() int   // members seen to start, this one included
-	Met      func() bool  // anyone has been met
-	Facts    *fact.Store  // nil: there are no others
-	Now      func() int64 // of the version of the list that is known here; may be nil
+	Rate  float64      // calls a second that the service is taken to bear at first, from all
+	Met   func() bool  // anyone has been met
+	Facts *fact.Store  // nil: there are no others
+	Now   func() int64 // of the version of the list that is known here; may be nil
 }
 
 // load is what one caller saw of the service, as a fact's body.
@@ -110,16 +109,16 @@
 	return min(w, longest)
 }
 
-// Turn waits for this process's turn, and reports false once ctx ends. What others tell meanwhile counts: where more
+// Turn waits for this process's turn among so many that are seen to start, and reports false once ctx ends. What others tell meanwhile counts: where more
 // start or the service is behind the turn moves on in step, and a refusal that is news holds everyone back.
-func (p *Pacer) Turn(ctx context.Context) bool {
+func (p *Pacer) Turn(ctx context.Context, seen func() int) bool {
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	began, place := time.Now(), rand.Float64() // full jitter: the place in the window, however wide it becomes
 	starters := 1
 	for {
 		// Who has had a turn does not move the others' on: all would come at once.
-		starters = max(starters, p.cfg.Starters())
+		starters = max(starters, seen())
 		rate, refused, _ := p.seen()
 		now := time.Now()
 		due := began.Add(time.Duration(place * float64(p.window(starters))))
--- a/internal/fleet/start/pacer_test.go
+++ b/internal/fleet/start/pacer_test.go
@@ -67,15 +67,17 @@
 		waiting.Store(int64(n))
 		done := make(chan struct{}, n)
 		for i := range n {
-			cfg := Config{Rate: 17, Starters: func() int { return 1 }, Met: func() bool { return false }}
+			starters := func() int { return 1 }
+			cfg := Config{Rate: 17, Met: func() bool { return false }}
 			if fleet {
 				store := fact.New(fmt.Sprint(i), 1, fact.DefaultBounds, nil)
 				stores = append(stores, store)
-				cfg = Config{Rate: 17, Starters: func() int { return max(1, int(waiting.Load())) }, Met: func() bool { return time.Since(s.began) > 200*time.Millisecond }, Facts: store}
+				starters = func() int { return max(1, int(waiting.Load())) }
+				cfg = Config{Rate: 17, Met: func() bool { return time.Since(s.began) > 200*time.Millisecond }, Facts: store}
 			}
 			go func() {
 				time.Sleep(time.Duration(rand.Float64() * float64(time.Second)))
-				for p := New(cfg); p.Turn(ctx); {
+				for p := New(cfg); p.Turn(ctx, starters); {
 					type answer struct {
 						took time.Duration
 						err  error
