Test six more hard cases of what agents share, each with real processes

Need: loss of 30%, a delay one way, blocked probes, sites of one agent, a list service that begins anew, and agents stopped for longer than the policy's bound had no test of several processes.

Change: a case each in TestRealAgentsShareSafely; a field that nobody set is gone.

--- a/internal/fleet/start/pacer.go
+++ b/internal/fleet/start/pacer.go
@@ -37,10 +37,9 @@
 
 // Config is what a Pacer needs.
 type Config struct {
-	Rate  float64      // calls a second that the service is taken to bear at first, from all
-	Met   func() bool  // anyone has been met
-	Facts *fact.Store  // nil: there are no others
-	Now   func() int64 // of the version of the list that is known here; may be nil
+	Rate  float64     // calls a second that the service is taken to bear at first, from all
+	Met   func() bool // anyone has been met
+	Facts *fact.Store // nil: there are no others
 }
 
 // load is what one caller saw of the service, as a fact's body.
--- a/internal/lab/shared_test.go
+++ b/internal/lab/shared_test.go
@@ -108,6 +108,17 @@
 				t.Error("no round trip was told")
 			}
 		}},
+		"datagrams lost": {six + matrix + "[[fault]]\nat = \"100ms\"\nwhat = \"link\"\nfrom = \"agents\"\nto = \"agents\"\nprotocol = \"udp\"\nlose = 0.3\n", func(t *testing.T, r *Report) {
+			if r.Shared.Used["distance"] == 0 {
+				t.Error("no round trip was told")
+			}
+		}},
+		"delay one way":  {six + matrix + "[[fault]]\nat = \"1s\"\nwhat = \"link\"\nfrom = \"agents zone=0\"\nto = \"agents zone=1\"\ndelay = \"60ms\"\n", nil},
+		"probes blocked": {six + matrix + "[[fault]]\nat = \"1s\"\nwhat = \"link\"\nfrom = \"agents zone=0\"\nto = \"agents zone=1\"\nboth = true\nprotocol = \"udp\"\ncut = true\n", nil},
+		"sites of one":   {strings.Replace(six, "agents = 6", "agents = 3", 1) + matrix, nil},
+		"list again":     {asked + relayed + "[[fault]]\nat = \"2s\"\nwhat = \"list-rewind\"\n", nil},
+		"stopped past the bound": {strings.ReplaceAll(strings.Replace(strings.Replace(tightened(six), "of = 0.2", "of = 0.1", 1), `bound = "500ms"`, `bound = "2s"`, 1), "\n[regions]", "\nwhen_stale = \"refuse\"\n[regions]") +
+			"[[fault]]\nat = \"800ms\"\nfor = \"4s\"\nwhat = \"stop\"\nwho = \"agents n=1,4\"\n", nil},
 		"bound tenants": {strings.Replace(strings.Replace(tightened(six), "of = 0.2", "of = 0.1", 1), `bound = "500ms"`, `bound = "2s"`, 1) + "[[fault]]\nat = \"2s\"\nwhat = \"kill\"\nwho = \"agents n=0,3\"\nrestart = \"kept\"\n", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
