--- a/api.go
+++ b/api.go
@@ -155,6 +155,7 @@
 		Result  Result
 		Latency time.Duration // since it was sent
 		Done    bool          // the request has its final answer, by this outcome or before
+		New     bool          // a connection was opened for it
 		Load    Load
 	}
 	// StreamStarted says that the answer of an attempt has begun to reach the client. Its Outcome comes
--- a/health.go
+++ b/health.go
@@ -39,7 +39,7 @@
 		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
 			b.start(t, b.now)
 		}
-		t.down, t.seen = false, true
+		t.down, t.seen, b.narrow = false, true, min(1, b.narrow*widened)
 		t.fail(0)
 		w, raw := b.warmth(t), lat
 		lat = max(lat*w, min(lat, a.cost)) // a cold one is slow by that: the rest tells of its queue
@@ -65,8 +65,12 @@
 		}
 	case Full:
 		t.fail(0)
-		b.learnSpeed(t, lateSlow) // its queue is longer than those that took what came
 		t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
+		if e.New { // it holds as many connections as it may: that tells of no queue
+			b.narrow *= narrowed
+			return
+		}
+		b.learnSpeed(t, lateSlow) // its queue is longer than those that took what came
 		b.pace(1)
 	case TimedOut:
 		if !a.late {
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -341,6 +341,7 @@
 	start  time.Time
 	until  time.Time // as the backend is told; zero: as ctx says
 	took   time.Duration
+	fresh  bool // its connection was opened for it
 	// began hands on a large answer, of which the first bytes are there, and reports false where its
 	// time is over. nil: there are no large answers.
 	began func(*answer, time.Duration) bool
@@ -392,6 +393,7 @@
 			return brookferry.ConnectFailed, nil, wire.Load(nil)
 		}
 		reused := c.idle > 0
+		t.fresh = !reused
 		result, answer, load := b.send(t, c)
 		// A kept connection that had died before the request was written whole tells nothing of
 		// whether the backend can be reached, and nothing has run: the attempt is still to be made.
@@ -462,6 +464,11 @@
 		return brookferry.OK, answer, load
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Never-Ran") == "1":
+		if t.fresh { // backends hold few connections: one of this agent's that rests is another's want
+			b.mu.Lock()
+			b.evict()
+			b.mu.Unlock()
+		}
 		return brookferry.Full, nil, load
 	}
 	return brookferry.Errored, nil, load
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -449,7 +449,7 @@
 			t.took = t.latency()
 		}
 		l.post(ended{r, brookferry.Outcome{Request: r.id, Attempt: n, Backend: a.Backend, Result: result,
-			Latency: t.took, Load: load}, ans})
+			Latency: t.took, New: t.fresh, Load: load}, ans})
 	}()
 }
 
--- a/picking.go
+++ b/picking.go
@@ -9,13 +9,15 @@
 )
 
 const (
-	meetAgain   = 4.0 // longest aims within which an agent means to meet a backend again
-	widthLeast  = 3   // idle backends at least among which a choice is made
-	crossBias   = 0.1 // chance of an idle backend in another zone, if crossing is priced ...
-	spillAt     = 0.3 // ... and answers from the own zone take no longer; from so much longer on it has the same
-	nearAfter   = 4.0 // longest aims since the limit was cut from which on distance counts
-	warmMost    = 1.1 // parts of the limit that warm backends hold while others are cold
-	strikesBias = 0.1 // chance of an idle backend that has not healed yet
+	meetAgain   = 4.0   // longest aims within which an agent means to meet a backend again
+	narrowed    = 0.9   // of that many backends once one turned a new connection away ...
+	widened     = 1.003 // ... and after each answer
+	widthLeast  = 3     // idle backends at least among which a choice is made
+	crossBias   = 0.1   // chance of an idle backend in another zone, if crossing is priced ...
+	spillAt     = 0.3   // ... and answers from the own zone take no longer; from so much longer on it has the same
+	nearAfter   = 4.0   // longest aims since the limit was cut from which on distance counts
+	warmMost    = 1.1   // parts of the limit that warm backends hold while others are cold
+	strikesBias = 0.1   // chance of an idle backend that has not healed yet
 )
 
 // pick chooses a backend: one where this balancer has nothing in flight, at
@@ -134,7 +136,7 @@
 	if b.gap == 0 || b.notesOn() { // notes tell of all
 		return len(b.backends)
 	}
-	return max(widthLeast, int(meetAgain*float64(b.period)/b.gap))
+	return max(widthLeast, int(b.narrow*meetAgain*float64(b.period)/b.gap))
 }
 
 // slowness is how much longer this backend takes than the mean, by its answers or
--- a/residency.go
+++ b/residency.go
@@ -14,9 +14,7 @@
 )
 
 // permits is the gate that every send passes: mayRepeat asks it, for first attempts, repeats and second copies alike.
-func (b *Balancer) permits(r *request, t *backend) bool { return b.permitsZone(r, t.Zone) }
-
-func (b *Balancer) permitsZone(r *request, zone int) bool {
+func (b *Balancer) permits(r *request, zone int) bool {
 	return r.rule == 0 || b.resident != nil && b.resident.Permits(r.rule, zone)
 }
 
@@ -27,13 +25,13 @@
 
 // homes reports whether a backend that is up may serve a request. One without any is refused at once.
 func (b *Balancer) homes(r *request) bool {
-	return !b.binds(r) || slices.ContainsFunc(b.backends, func(t *backend) bool { return t.State == Up && b.permits(r, t) })
+	return !b.binds(r) || slices.ContainsFunc(b.backends, func(t *backend) bool { return t.State == Up && b.permits(r, t.Zone) })
 }
 
 // reserve has others keep out of the zones of a bound request that waits for them, or finds them busy or slow.
 func (b *Balancer) reserve(r *request) {
 	for i, z := range b.zones {
-		if b.permitsZone(r, i) {
+		if b.permits(r, i) {
 			z.tight = b.now + time.Duration(tightFor*float64(b.period))
 		}
 	}
--- a/retries.go
+++ b/retries.go
@@ -40,7 +40,7 @@
 
 // mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
 func (b *Balancer) mayRepeat(r *request, t *backend) bool {
-	if !b.permits(r, t) || r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
+	if !b.permits(r, t.Zone) || r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
 		return false
 	}
 	c := &b.classes[r.class]
--- a/state.go
+++ b/state.go
@@ -166,6 +166,7 @@
 	outcomes int
 	fits     [][]float64 // by class and kind
 
+	narrow float64 // part of the width that backends have connections for
 	gap    float64 // mean time between requests, ns
 	lastAt time.Duration
 	calls  calls // of operators, that hold
@@ -182,7 +183,7 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
-		perBack: startPerBack, ramp: 1, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
+		perBack: startPerBack, ramp: 1, narrow: 1, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
 		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, requests: map[string]*request{},
 		timers: map[int64]*request{}, watched: map[int64]*attempt{}, fits: make([][]float64, len(s.Classes))}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
--- a/zones.go
+++ b/zones.go
@@ -52,13 +52,8 @@
 // judge leaves a zone that is lost by this agent's own evidence and by what others told since the last answer from
 // there. One who answers often enough to know for itself is told nothing new: its answers came after the words.
 func (b *Balancer) judge(z *zone, saw bool) {
-	words := 0.0
-	for _, w := range z.words {
-		if b.now-w.at < time.Duration(zoneFresh*float64(b.period)) {
-			words++
-		}
-	}
-	if !z.left && z.odds+zoneWord*words >= zoneSure && b.elsewhere(z) {
+	z.words = slices.DeleteFunc(z.words, func(w word) bool { return b.now-w.at >= time.Duration(zoneFresh*float64(b.period)) })
+	if !z.left && z.odds+zoneWord*float64(len(z.words)) >= zoneSure && b.elsewhere(z) {
 		z.seen = saw
 		b.leaveZone(z)
 	}
@@ -199,7 +194,7 @@
 		if closed[i] = part < 1 && b.rng.Float64() >= part; closed[i] && z.canary && r.risky == 0 && b.cheapest(r.class) {
 			closed[i] = false
 		}
-		open = open || !z.left && z.up > 0 && b.permitsZone(r, i)
+		open = open || !z.left && z.up > 0 && b.permits(r, i)
 		closed[i] = closed[i] || aside != nil && aside[i]
 	}
 	if !open {
