--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -123,7 +123,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Agent: a, base: "http://" + a.Addr().String(), stop: cancel, done: make(chan error, 1)}
-	a.discovery.Silence = 2 * patience                                                    // a slow machine is no dead discovery
+	a.discovery.Silence, a.discovery.Hang = 2*patience, 2*patience                        // a slow machine is no dead discovery
 	a.front.server.ReadHeaderTimeout, a.front.server.IdleTimeout = 2*patience, 2*patience // nor a rude client
 	a.front.body, a.front.gap = 2*patience, 2*patience
 	a.accept = func() <-chan time.Time { return accept }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -159,6 +159,8 @@
 	if c.Settings, c.Site, err = wire.ParseSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	// The module spreads its calls for lists over parts of this time.
+	c.Settings.AskWithin = min(c.Settings.AskWithin, discovery.ToldWithin)
 	for i, name := range c.Site.Classes {
 		if name == "" {
 			return nil, fmt.Errorf("settings: Profiles[%d].Name: missing", i)
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -9,8 +9,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/discovery"
 )
 
 func toLine(t *testing.T, version int64, servers ...member) string {
@@ -138,3 +140,19 @@
 		t.Errorf("%+v", m)
 	}
 }
+
+// A change counts as told after 6 s at the latest, whatever the settings say of calls for lists.
+func TestCallsForListsAreSpreadOverNoMoreThanTheChangesTime(t *testing.T) {
+	for asked, want := range map[string]time.Duration{"1000": time.Second, "60000": discovery.ToldWithin} {
+		text := strings.Replace(fmt.Sprintf(settings, "subscribe", 1000), `"AskWithinMs": 1000`, `"AskWithinMs": `+asked, 1)
+		raw, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+			"settings": json.RawMessage(text)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := parseConfig(raw, func(string) string { return "" })
+		if err != nil || c.Settings.AskWithin != want {
+			t.Errorf("%v, %v", c, err)
+		}
+	}
+}
--- a/internal/agent/discovery/follow.go
+++ b/internal/agent/discovery/follow.go
@@ -17,17 +17,19 @@
 	"brookferry/internal/fleet/source"
 )
 
-// Discovery sends an empty line every 2 s while nothing changes: a machine that is cut off closes nothing. What a
-// silent watch misses counts as told 6 s after it fell silent, at the latest, and the grace for drains is half a
-// second: by then the next watch has to be up and answered, also where the first try to open it hangs.
+// A change counts as told 6 s after discovery had it and could be reached, whatever was refused, failed, hung or given up
+// meanwhile, and the grace for drains is half a second: by then a watch has to be up and answered. Discovery sends an
+// empty line every 2 s while nothing changes.
 const (
-	// Pushed lists cost discovery nothing: one late line is enough to open the watch anew. With 3 s to go, five
-	// tries follow before anything counts.
-	silentPushed = 3 * time.Second
-	// A call that is asked for costs the list service work: two lines have to be missed.
-	silentAsked = 4500 * time.Millisecond
-	// An opening that hangs is left open, since an outage's end may answer it, and another is begun beside it.
-	hangs       = 400 * time.Millisecond
+	// ToldWithin is when a change counts as told at the latest. It goes before what the settings say of calls for lists.
+	ToldWithin = 6 * time.Second
+	// One late line makes a watch overdue, and another is opened beside it. With 3 s to go, several tries follow before
+	// anything counts.
+	silence = 3 * time.Second
+	// An opening without a word for so long is overdue: 3 s hold seven of them where lists are pushed, which costs nothing,
+	// and two, with the waits between, where a call may wait for its turn and costs the list service work.
+	hangPushed, hangAsked = 400 * time.Millisecond, time.Second
+	// Overdue ones stay open, since an outage's end may answer them, this many besides the one that lists come by.
 	mostOpening = 2
 	// Waits after a failure where lists are pushed: full jitter below a doubling ceiling, which stays under the grace
 	// for drains, since what discovery holds counts as told the moment it is back.
@@ -52,10 +54,10 @@
 // Follower follows the list of backends. Where lists are asked for, the module says when to watch, and when to try
 // again after a failure; where they are pushed there is nobody to ask, and it opens watches by itself.
 type Follower struct {
-	// Both are set before Run. Record is where a successor finds the list, and may be nil; Silence is how long a
-	// watch may say nothing.
-	Record  func(from string, list *Members)
-	Silence time.Duration
+	// All are set before Run. Record is where a successor finds the list, and may be nil. Silence is how long a
+	// watch may say nothing, Hang how long one that is being opened.
+	Record        func(from string, list *Members)
+	Silence, Hang time.Duration
 
 	cfg     Config
 	client  *http.Client
@@ -68,10 +70,11 @@
 
 	// Run alone uses these.
 	version int64
-	watched string // where the latest watch went
+	counted string // the address where version counts; "": the whole list has to be asked for
 	whole   whole  // where it is recorded
 	opening []*watch
-	current *watch // the one that has answered; nil: none
+	current *watch    // the one that lists come by; nil: none
+	due     time.Time // of the next opening, where the follower opens by itself; zero: none
 	fails   int
 	waits   *backoff.ExponentialBackOff
 	told    chan news
@@ -83,13 +86,13 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}).DialContext
 	}
-	f := &Follower{cfg: cfg, addr: cfg.Addr, watched: cfg.Addr, Silence: silentPushed,
+	f := &Follower{cfg: cfg, addr: cfg.Addr, counted: cfg.Addr, Silence: silence, Hang: hangPushed,
 		asks: make(chan struct{}, 1), moved: make(chan struct{}, 1), told: make(chan news),
 		// A factor of 1 around half the ceiling is full jitter below it.
 		waits:  &backoff.ExponentialBackOff{InitialInterval: waitFirst / 2, RandomizationFactor: 1, Multiplier: 2, MaxInterval: waitMost / 2},
 		client: clientOver(cfg.Dial)}
 	if cfg.Asked {
-		f.Silence = silentAsked
+		f.Hang = hangAsked
 	}
 	if cfg.Sources != nil {
 		f.relayed = clientOver(cfg.Sources.Dial)
@@ -142,10 +145,10 @@
 	ctx, end := context.WithCancel(ctx)
 	defer f.tasks.Wait()
 	defer end()
-	due := time.NewTimer(0) // of the next opening, where lists are pushed
-	defer due.Stop()
-	if f.cfg.Asked {
-		due.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	if !f.cfg.Asked {
+		f.due = time.Now()
 	}
 	f.waits.Reset()
 	var look <-chan time.Time // at what others have told of
@@ -155,6 +158,18 @@
 		look = tick.C
 	}
 	for behind := 0; ; {
+		f.age()
+		if now := time.Now(); !f.due.IsZero() && !now.Before(f.due) {
+			f.due = time.Time{}
+			if !f.attended() {
+				f.open(ctx)
+			}
+		}
+		if next := f.next(); next.IsZero() {
+			wake.Stop()
+		} else {
+			wake.Reset(time.Until(next))
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -166,54 +181,112 @@
 				f.drop(f.current)
 				f.lost(news{from: f.current, err: errBehind})
 			}
-		case <-f.moved: // nothing has failed: on to the new address
+		case <-f.moved:
+			// Nothing has failed. The present watch goes on, as long as discovery keeps it open at the old address, until the
+			// new one has told a list: what it tells meanwhile counts as well.
 			f.drop(f.opening...)
-			if f.current != nil {
-				f.drop(f.current)
-			}
-			f.opening, f.current, f.fails = nil, nil, 0
-			f.open(ctx)
+			f.opening, f.fails = nil, 0
+			f.due = time.Now()
 		case <-f.asks:
-			if f.current == nil && len(f.opening) == 0 {
+			if !f.attended() {
 				f.open(ctx)
 			}
-		case <-due.C:
-			f.open(ctx)
+		case <-wake.C:
 		case n := <-f.told:
 			f.take(n)
 		}
-		switch {
-		case f.cfg.Asked:
-		case f.current != nil:
-			due.Stop()
-		case f.fails > 0 && len(f.opening) == 0:
-			due.Reset(f.waits.NextBackOff())
-		default:
-			due.Reset(hangs)
+	}
+}
+
+// attended reports whether a watch is there, at the present address, that is not overdue.
+func (f *Follower) attended() bool {
+	f.mu.Lock()
+	addr := f.addr
+	f.mu.Unlock()
+	for _, w := range f.watches() {
+		if w.addr == addr && !w.overdue {
+			return true
 		}
 	}
+	return false
 }
 
-// open begins a watch. Of those that are being opened the oldest makes room.
+func (f *Follower) watches() []*watch {
+	if f.current == nil {
+		return f.opening
+	}
+	return append(slices.Clone(f.opening), f.current)
+}
+
+// dueAt is when a watch is overdue that says no more; zero: it is, or waits for its turn.
+func (f *Follower) dueAt(w *watch) time.Time {
+	switch {
+	case w.overdue || !w.asked:
+		return time.Time{}
+	case w.alive.IsZero():
+		return w.began.Add(f.Hang)
+	}
+	return w.alive.Add(cmp.Or(w.via.Silence, f.Silence))
+}
+
+// next is when there is something to do even if nothing comes; zero: never.
+func (f *Follower) next() time.Time {
+	next := f.due
+	for _, w := range f.watches() {
+		if at := f.dueAt(w); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
+// age finds the watches that are overdue by now. Each has failed, as far as anyone can know, and stays open all the same.
+func (f *Follower) age() {
+	for _, w := range f.watches() {
+		if at := f.dueAt(w); !at.IsZero() && !time.Now().Before(at) {
+			if f.cfg.Sources != nil && (w == f.current || w.via.Relayed) {
+				f.drop(w) // there are others to ask
+				f.lost(news{from: w, err: errSilent})
+				continue
+			}
+			w.overdue = true
+			f.failed(errSilent)
+			if !f.cfg.Asked {
+				f.due = time.Now()
+			}
+		}
+	}
+}
+
+// open begins a watch. Of those that are being opened one makes room: the oldest once all is told anyway, else
+// the youngest, so that one call is always fresh and one may have waited for its turn.
 func (f *Follower) open(ctx context.Context) {
 	f.mu.Lock()
 	addr := f.addr
 	f.mu.Unlock()
-	if addr != f.watched {
-		f.version, f.watched = 0, addr // it may count anew there: the whole list is asked for
-	}
 	if len(f.opening) == mostOpening {
-		oldest := f.opening[0]
-		f.drop(oldest)
-		f.lost(news{from: oldest, err: errSilent})
+		i := len(f.opening) - 1
+		if oldest := f.opening[0]; oldest.asked && time.Since(oldest.began) >= ToldWithin {
+			i = 0
+		}
+		w := f.opening[i]
+		f.drop(w)
+		f.opening = slices.Delete(f.opening, i, i+1)
+		if f.cfg.Sources != nil && w.asked {
+			f.cfg.Sources.Answered(w.via, 0, true, f.version)
+		}
+	}
+	since := f.version
+	if addr != f.counted {
+		since = 0 // it may count anew there, or what came made no sense
 	}
 	ctx, drop := context.WithCancel(ctx)
-	w := &watch{addr: addr, since: f.version, drop: drop}
+	w := &watch{addr: addr, since: since, drop: drop}
 	f.opening = append(f.opening, w)
 	fails := f.fails
 	f.tasks.Go(func() {
 		defer drop()
-		client, silence, heard := f.client, f.Silence, func() {}
+		client, heard := f.client, func() {}
 		if from := f.cfg.Sources; from != nil {
 			var ok bool
 			if w.via, ok = from.Next(ctx, fails); !ok {
@@ -222,11 +295,10 @@
 			if w.via.Relayed {
 				client = f.relayed
 			}
-			silence = cmp.Or(w.via.Silence, silence)
 			heard = func() { from.Heard(w.via) }
 		}
 		w.began = time.Now()
-		w.run(ctx, client, silence, heard, func(n news) {
+		w.run(ctx, client, heard, func(n news) {
 			select {
 			case f.told <- n:
 			case <-ctx.Done(): // nobody listens any more
@@ -248,42 +320,72 @@
 	if w != f.current && !slices.Contains(f.opening, w) {
 		return // dropped
 	}
-	if n.err != nil {
+	switch {
+	case n.err != nil:
 		f.lost(n)
 		return
+	case n.opened:
+		w.asked = true
+		return
+	}
+	w.alive = time.Now()
+	if w.came.IsZero() {
+		w.came, w.overdue = w.alive, false
 	}
-	if w != f.current { // the first that answers is it
+	// A watch is the one that lists come by once it has told one, or has spoken for so long that there is none to tell:
+	// until then another may be the one that would have answered.
+	sure := n.list != nil || w.alive.Sub(w.came) >= f.Silence
+	if w != f.current && (sure || f.current == nil) {
 		f.opening = slices.DeleteFunc(f.opening, func(o *watch) bool { return o == w })
+		if f.current != nil {
+			f.drop(f.current)
+		}
+		f.current = w
+	}
+	f.mu.Lock()
+	here := w.addr == f.addr
+	f.mu.Unlock()
+	if w == f.current && sure && here && !w.overdue {
 		f.drop(f.opening...)
-		f.opening, f.current = nil, w
+		f.opening = nil
 	}
-	if n.list == nil {
-		return
+	if n.list != nil {
+		f.listed(w, n.list)
 	}
+}
+
+// listed takes a list over.
+func (f *Follower) listed(w *watch, m *Members) {
 	f.fails = 0
 	f.waits.Reset()
 	was := f.version
-	f.version = n.list.Version
+	if !w.listed && !m.Full && w.addr == f.counted && m.Version < was {
+		// Changes up to a version that is past: the watch before this one went on telling when it had been given up. What
+		// follows is newer.
+		w.listed = true
+		return
+	}
+	f.version, f.counted = m.Version, w.addr
 	if f.Record != nil || f.cfg.Sources != nil {
-		f.whole.merge(n.list, n.list.Full)
+		f.whole.merge(m, m.Full)
 	}
 	if f.Record != nil {
-		f.Record(w.addr, f.whole.members(n.list.Version))
+		f.Record(w.addr, f.whole.members(m.Version))
 	}
 	if f.cfg.Sources != nil {
-		f.passOn(w, n.list, was)
+		f.passOn(w, m, was)
 	}
+	w.listed = true
 	kind := brookferry.ListDelta
-	if n.list.Full {
+	if m.Full {
 		kind = brookferry.ListFull
 	}
-	f.cfg.Post(f.cfg.Update(n.list, kind))
+	f.cfg.Post(f.cfg.Update(m, kind))
 }
 
 // passOn tells the fleet of a list.
 func (f *Follower) passOn(w *watch, m *Members, was int64) {
 	if !w.listed {
-		w.listed = true
 		f.cfg.Sources.Answered(w.via, time.Since(w.began), false, m.Version)
 	}
 	var change []byte
@@ -308,14 +410,25 @@
 		f.current = nil
 	}
 	if n.bad {
-		f.version = 0 // the whole list may make sense
+		f.counted = "" // the whole list may make sense
 	}
 	if f.cfg.Sources != nil && !n.from.listed {
 		f.cfg.Sources.Answered(n.from.via, 0, true, f.version)
 	}
+	if n.from.overdue {
+		return // that was its failure
+	}
+	f.failed(n.err)
+	if !f.cfg.Asked && !f.attended() {
+		f.due = time.Now().Add(f.waits.NextBackOff())
+	}
+}
+
+// failed tells the module, which asks anew where lists are asked for.
+func (f *Follower) failed(err error) {
 	f.fails++
 	if f.fails == 1 || f.fails%20 == 0 { // not a line for every try while it is down
-		f.cfg.Log.Warn("discovery watch ended", "error", n.err, "failures", f.fails)
+		f.cfg.Log.Warn("discovery watch ended", "error", err, "failures", f.fails)
 	}
 	f.cfg.Post(Update{List: brookferry.List{Kind: brookferry.ListFailed}})
 }
--- a/internal/agent/discovery/follow_test.go
+++ b/internal/agent/discovery/follow_test.go
@@ -33,10 +33,12 @@
 	conns   chan net.Conn
 	mute    map[*http.Request]bool // watches that fell silent for good
 	hangs   int                    // so many of the next calls are taken, and never answered
+	drips   map[*http.Request]bool // watches that get the first bytes of a value, one each second, and no more
+	shut    string                 // no connection comes up there
 }
 
 func newCatalog(t testing.TB) *catalog {
-	c := &catalog{version: 41, stir: make(chan struct{}), conns: make(chan net.Conn, 64), mute: map[*http.Request]bool{},
+	c := &catalog{version: 41, stir: make(chan struct{}), conns: make(chan net.Conn, 64), mute: map[*http.Request]bool{}, drips: map[*http.Request]bool{},
 		form: func(m Members) string { raw, _ := json.Marshal(m); return string(raw) }}
 	server := &http.Server{Handler: c}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -62,9 +64,9 @@
 func (p *pipes) Close() error   { return nil }
 func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (c *catalog) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+func (c *catalog) dial(ctx context.Context, _, addr string) (net.Conn, error) {
 	c.mu.Lock()
-	refuses := c.refuses
+	refuses := c.refuses || addr == c.shut
 	c.mu.Unlock()
 	if refuses {
 		return nil, fmt.Errorf("refused")
@@ -91,21 +93,28 @@
 	c.mute[r] = c.hangs > 0
 	c.hangs = max(0, c.hangs-1)
 	c.mu.Unlock()
-	defer func() { c.mu.Lock(); delete(c.mute, r); c.mu.Unlock() }()
+	defer func() { c.mu.Lock(); delete(c.mute, r); delete(c.drips, r); c.mu.Unlock() }()
+	dripped := 0
 	for first := true; ; {
 		c.mu.Lock()
-		text, stir, quiet := "\n", c.stir, c.hung || c.mute[r]
+		text, stir, quiet, beat := "\n", c.stir, c.hung || c.mute[r], 2*time.Second
 		if first || since != c.version {
 			text = c.form(Members{Version: c.version, Full: since == 0 || since > c.version,
 				Servers: []Member{{ID: "s", Addr: "127.0.0.1:9", Zone: "b", State: "ready", Weight: float64(c.version)}}}) + "\n"
 		}
 		version, over := c.version, c.refuses
+		if c.drips[r] {
+			text, beat, version = "{", time.Second, since
+			if dripped++; dripped > 1 {
+				text = " "
+			}
+		}
 		c.mu.Unlock()
 		if over {
 			return
 		}
 		if !quiet {
-			first, since = false, version
+			first, since = first && dripped > 0, version
 			if _, err := io.WriteString(w, text); err != nil {
 				return
 			}
@@ -113,10 +122,9 @@
 				return
 			}
 		}
-		beat := time.NewTimer(2 * time.Second)
 		select {
 		case <-stir:
-		case <-beat.C:
+		case <-time.After(beat):
 		case <-r.Context().Done():
 			return
 		}
@@ -132,16 +140,22 @@
 	ended   chan struct{}
 	log     bytes.Buffer
 	version float64 // by the weight of the only server
+	part    int     // of each wait's ceiling, in a hundred; see module
+	fails   int
+	again   *time.Timer
 }
 
 func follow(t testing.TB, c *catalog, asked bool) *following {
-	g := &following{ended: make(chan struct{})}
+	g := &following{ended: make(chan struct{}), part: -1}
 	g.Follower = New(Config{Addr: "10.0.0.1:1", Asked: asked, ConnectTimeout: time.Second, Dial: c.dial, Post: func(u Update) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.posts, g.at = append(g.posts, u), append(g.at, time.Now())
-		if u.List.Kind != brookferry.ListFailed {
-			g.version = u.List.Backends[0].Weight
+		switch {
+		case u.List.Kind == brookferry.ListFailed && asked && g.part >= 0:
+			g.failedNow()
+		case len(u.List.Backends) > 0:
+			g.version, g.fails = u.List.Backends[0].Weight, 0
 		}
 	}, Translator: Translator{Zones: []string{"a", "b"}, At: func(time.Time) time.Duration { return 0 },
 		Log: slog.New(slog.NewTextHandler(&g.log, nil))}})
@@ -238,7 +252,7 @@
 		g.Subscribe() // one is open
 		time.Sleep(time.Minute)
 		c.set(func() { c.hung = true }) // a call may wait: it is not made twice
-		time.Sleep(silentAsked + time.Millisecond)
+		time.Sleep(silence + time.Millisecond)
 		if k := g.kinds(); len(c.calls) != 1 || len(k) != 3 || k[1] != brookferry.ListDelta || k[2] != brookferry.ListFailed {
 			t.Errorf("%d calls, posts %v", len(c.calls), k)
 		}
@@ -277,62 +291,210 @@
 	}
 }
 
-// The one clock: whatever befalls discovery and the watches, a change is heeded before the grace for drains is over, from
-// when it counts as told: 6 s after the watch fell silent, or the moment that discovery speaks again.
+// The one clock: whatever befalls discovery and the watches, and however often discovery moves, a change is heeded before the
+// grace for drains is over, from when it counts as told: 6 s after discovery had it and could be reached. Where lists are
+// pushed what discovery holds counts the moment that it speaks again; where they are asked for the module asks anew a wait
+// after each failure, as it would here.
 func TestNothingIsHeardTooLate(t *testing.T) {
-	const grace, clock = 500 * time.Millisecond, 6 * time.Second
-	rapid.Check(t, func(r *rapid.T) {
-		type step struct{ kind, ms int } // drawn beforehand: a shrinking check ends where it draws
-		steps := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) step {
-			return step{rapid.IntRange(0, 4).Draw(r, "kind"), rapid.IntRange(0, 9000).Draw(r, "ms")}
-		}), 1, 12).Draw(r, "steps")
-		wrong := ""
-		defer func() {
-			if wrong != "" {
-				r.Fatal(wrong)
-			}
-		}()
+	const grace = 500 * time.Millisecond
+	for _, asked := range []bool{false, true} {
+		t.Run(fmt.Sprint("asked ", asked), func(t *testing.T) {
+			rapid.Check(t, func(r *rapid.T) {
+				type step struct{ kind, ms, wait int } // drawn beforehand: a shrinking check ends where it draws
+				steps := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) step {
+					return step{rapid.IntRange(0, 6).Draw(r, "kind"), rapid.IntRange(0, 9000).Draw(r, "ms"), rapid.IntRange(1, 100).Draw(r, "wait")}
+				}), 1, 12).Draw(r, "steps")
+				wrong := ""
+				defer func() {
+					if wrong != "" {
+						r.Fatal(wrong)
+					}
+				}()
+				bubble(t, func(t *testing.T) {
+					c := newCatalog(t)
+					g := follow(t, c, asked)
+					g.module(steps[0].wait)
+					synctest.Wait()
+					var silent time.Time // since then nobody is spoken to; zero: all is well
+					for i, s := range steps {
+						g.setWait(s.wait)
+						switch k := s.kind; {
+						case k == 0:
+							c.set(func() { c.hung = true })
+						case k == 1: // all connections end, and no new one comes up
+							c.set(func() { c.refuses = true })
+						case k <= 3: // open watches fall silent for good; new ones are served, but the first may hang
+							c.set(func() {
+								c.hangs = (k - 2) * 2
+								for w := range c.mute {
+									c.mute[w] = true
+								}
+							})
+						case k == 4: // open watches are kept alive by a value that never ends
+							c.set(func() {
+								for w := range c.mute {
+									c.drips[w] = true
+								}
+							})
+						case k == 5: // a replaced configuration, and another at once
+							g.Move(fmt.Sprintf("10.0.1.%d:1", i))
+							c.set(func() { c.hangs = s.wait % 3 })
+							g.Move(fmt.Sprintf("10.0.2.%d:1", i))
+						}
+						if silent.IsZero() {
+							silent = time.Now()
+						}
+						time.Sleep(time.Duration(s.ms) * time.Millisecond)
+						outage := c.hung || c.refuses
+						c.set(func() { c.version, c.hung, c.refuses = c.version+1, false, false })
+						due := time.Until(silent.Add(ToldWithin))
+						if asked && outage {
+							due = ToldWithin // since it can be reached
+						} else if outage || due < 0 {
+							due = 0
+						}
+						time.Sleep(due + grace)
+						synctest.Wait()
+						if g.told() != c.version {
+							wrong = fmt.Sprintf("step %d: version %d is known, not %d, %v after it counts as told; %s", i, g.told(), c.version, grace, g.log.String())
+							return
+						}
+						silent = time.Time{}
+					}
+					if len(c.mute) > mostOpening+1 {
+						wrong = fmt.Sprintf("%d watches are open", len(c.mute))
+					}
+				})
+			})
+		})
+	}
+}
+
+// module asks for a watch at once, and after each failure as the module would: by the root's backoff, of which each wait
+// here is this part of the ceiling, in a hundred.
+func (g *following) module(part int) {
+	g.Subscribe()
+	g.part = part
+}
+
+func (g *following) setWait(part int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.part = part
+}
+
+// failedNow answers a failure as the module does. The lock is held.
+func (g *following) failedNow() {
+	g.fails++
+	ceiling := ToldWithin / 64 << min(g.fails, 4)
+	wait := ceiling * time.Duration(g.part) / 100
+	if g.again != nil {
+		g.again.Stop() // the latest timer counts
+	}
+	g.again = time.AfterFunc(wait, g.Subscribe)
+}
+
+// A watch whose value never ends is not alive by its bytes, and a new one that only shows signs of life does not end an
+// older one that would have answered.
+func TestSignsThatAreNone(t *testing.T) {
+	for _, asked := range []bool{false, true} {
 		bubble(t, func(t *testing.T) {
 			c := newCatalog(t)
-			g := follow(t, c, false)
+			g := follow(t, c, asked)
+			g.module(50)
 			synctest.Wait()
-			var silent time.Time // since then nobody is spoken to; zero: all is well
-			for i, s := range steps {
-				switch k := s.kind; {
-				case k == 0:
-					c.set(func() { c.hung = true })
-				case k == 1: // all connections end, and no new one comes up
-					c.set(func() { c.refuses = true })
-				case k <= 3: // open watches fall silent for good; new ones are served, but the first may hang
-					c.set(func() {
-						c.hangs = (k - 2) * 3
-						for w := range c.mute {
-							c.mute[w] = true
-						}
-					})
-				}
-				if silent.IsZero() {
-					silent = time.Now()
-				}
-				time.Sleep(time.Duration(s.ms) * time.Millisecond)
-				outage := c.hung || c.refuses
-				c.set(func() { c.version, c.hung, c.refuses = c.version+1, false, false })
-				due := time.Until(silent.Add(clock))
-				if outage || due < 0 {
-					due = 0
+			c.set(func() {
+				for w := range c.mute {
+					c.drips[w] = true
 				}
-				time.Sleep(due + grace)
-				synctest.Wait()
-				if g.told() != c.version {
-					wrong = fmt.Sprintf("step %d: version %d is known, not %d, %v after it counts as told; %s", i, g.told(), c.version, grace, g.log.String())
-					return
-				}
-				silent = time.Time{}
+			})
+			time.Sleep(time.Second)
+			c.set(func() { c.version++ })
+			time.Sleep(ToldWithin)
+			synctest.Wait()
+			if g.told() != c.version {
+				t.Errorf("asked %v: a value that never ends kept its watch alive: %s", asked, g.log.String())
 			}
-			if len(c.mute) > mostOpening+1 {
-				wrong = fmt.Sprintf("%d watches are open", len(c.mute))
+		})
+	}
+	bubble(t, func(t *testing.T) {
+		f := New(Config{Addr: "10.0.0.1:1", Post: func(Update) {}, Translator: Translator{Log: slog.New(slog.DiscardHandler)}})
+		ends := map[*watch]bool{}
+		opened := func() *watch {
+			w := &watch{addr: f.addr, asked: true, began: time.Now()}
+			w.drop = func() { ends[w] = true }
+			f.opening = append(f.opening, w)
+			return w
+		}
+		older, newer := opened(), opened()
+		f.take(news{from: newer})
+		if ends[older] || f.current != newer {
+			t.Fatal("a sign of life ended the opening before")
+		}
+		f.take(news{from: older, list: &Members{Version: 50, Full: true}})
+		if f.version != 50 || f.current != older || !ends[newer] {
+			t.Errorf("version %d: the list of the older one was not taken", f.version)
+		}
+		late := opened()
+		late.since = 40
+		f.current.overdue = true
+		f.take(news{from: late, list: &Members{Version: 45}})
+		if f.version != 50 {
+			t.Errorf("version %d by changes that are past", f.version)
+		}
+		f.take(news{from: late, list: &Members{Version: 30}}) // in its own stream a version may go back
+		if f.version != 30 {
+			t.Errorf("version %d", f.version)
+		}
+	})
+}
+
+// While discovery moves, the watch at the old address tells what it is told, until the new one has told a list; also where
+// the new address is down, and is replaced by another.
+func TestOldWatchTellsUntilTheNewOneDoes(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		bubble(t, func(t *testing.T) {
+			c := newCatalog(t)
+			c.shut = "10.0.0.2:1"
+			g := follow(t, c, asked)
+			g.module(50)
+			synctest.Wait()
+			g.Move("10.0.0.2:1")
+			time.Sleep(time.Second)
+			c.set(func() { c.version++ })
+			if synctest.Wait(); g.told() != c.version {
+				t.Errorf("asked %v: what the old address told did not count", asked)
+			}
+			c.set(func() { c.hangs = 1 })
+			g.Move("10.0.0.3:1")
+			synctest.Wait()
+			c.set(func() { c.version++ })
+			if synctest.Wait(); g.told() != c.version {
+				t.Errorf("asked %v: what the old address told did not count, the second time", asked)
+			}
+			time.Sleep(ToldWithin)
+			synctest.Wait()
+			if len(c.mute) != 1 || g.current.addr != "10.0.0.3:1" {
+				t.Errorf("asked %v: %d watches, at %s", asked, len(c.mute), g.current.addr)
 			}
 		})
+	}
+}
+
+// A whole list that is empty is a list: nobody is there any more.
+func TestEmptyList(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := newCatalog(t)
+		g := follow(t, c, false)
+		synctest.Wait()
+		c.set(func() { c.form = func(Members) string { return `{"version":42,"full":true,"servers":[]}` } })
+		c.set(func() { c.version = 42 })
+		synctest.Wait()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if last := g.posts[len(g.posts)-1]; last.List.Kind != brookferry.ListFull || len(last.List.Backends) != 0 || len(last.Addrs) != 0 {
+			t.Errorf("%+v", last)
+		}
 	})
 }
 
--- a/internal/agent/discovery/watch.go
+++ b/internal/agent/discovery/watch.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -30,24 +31,31 @@
 	via   source.Source // set by its task before it tells anything
 	began time.Time     // the same; when it was opened
 
-	listed bool // the supervisor's: a list has come
+	// The supervisor's.
+	asked   bool      // it has been opened: before, it waits for its turn
+	alive   time.Time // its latest sign of life; zero: none
+	came    time.Time // the first
+	overdue bool      // its time is up, and it is known: what it still says counts, but nothing rests on it
+	listed  bool      // a list has come
 }
 
 // news is what a watch's task tells the supervisor.
 type news struct {
-	from *watch
-	list *Members // nil: a sign of life, the first, or with err the end
-	err  error
-	bad  bool // what came makes no sense
+	from   *watch
+	opened bool     // the call goes out
+	list   *Members // nil: a sign of life, or with err the end
+	err    error
+	bad    bool // what came makes no sense
 }
 
-// signs is the stream of a watch's bytes. Each read is a sign of life, also an empty line between values, and
-// what is read may not run further ahead of the last whole value than maxValue.
+// signs is the stream of a watch's bytes. An empty line between values is a sign of life, and so is a whole value; the
+// bytes of one that never ends are none. What is read may not run further ahead of the last whole value than maxValue.
 type signs struct {
 	in    io.Reader
 	alive func()
 	read  int64
 	whole int64 // up to the end of the last value
+	blank bool  // nothing but white space has come since
 }
 
 func (s *signs) Read(p []byte) (int, error) {
@@ -55,29 +63,29 @@
 		return 0, errTooLong
 	}
 	n, err := s.in.Read(p[:min(len(p), 64<<10)])
-	if s.read += int64(n); n > 0 {
+	s.read += int64(n)
+	if s.blank = s.blank && isBlank(p[:n]); s.blank && n > 0 {
 		s.alive()
 	}
 	return n, err
 }
 
+// ended notes the end of a value, at an offset, with what has been read behind it.
+func (s *signs) ended(at int64, behind []byte) { s.whole, s.blank = at, isBlank(behind) }
+
+func isBlank(p []byte) bool { return len(bytes.Trim(p, " \t\r\n")) == 0 }
+
 // run follows changes until the connection ends, and tells of each in turn, and of the end. tell may wait.
-func (w *watch) run(ctx context.Context, client *http.Client, silence time.Duration, heard func(), tell func(news)) {
-	ctx, end := context.WithCancelCause(ctx)
-	defer end(nil)
-	fallen := time.AfterFunc(silence, func() { end(errSilent) })
-	defer fallen.Stop()
-	err := w.follow(ctx, client, func() { fallen.Reset(silence); heard() }, tell)
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
+func (w *watch) run(ctx context.Context, client *http.Client, heard func(), tell func(news)) {
+	tell(news{from: w, opened: true})
+	err := w.follow(ctx, client, func() { heard(); tell(news{from: w}) }, func(m *Members) { heard(); tell(news{from: w, list: m}) })
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
 	tell(news{from: w, err: err, bad: errors.As(err, &syntax) || errors.As(err, &kind) ||
 		errors.Is(err, errNoList) || errors.Is(err, errTooLong)})
 }
 
-func (w *watch) follow(ctx context.Context, client *http.Client, alive func(), tell func(news)) error {
+func (w *watch) follow(ctx context.Context, client *http.Client, alive func(), tell func(*Members)) error {
 	addr := w.addr
 	if w.via.Relayed {
 		addr = w.via.Addr
@@ -95,14 +103,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	first := true
-	in := &signs{in: resp.Body, alive: func() {
-		alive()
-		if first {
-			first = false
-			tell(news{from: w})
-		}
-	}}
+	in := &signs{in: resp.Body, alive: alive, blank: true}
 	values := json.NewDecoder(in)
 	for {
 		var m Members
@@ -114,7 +115,8 @@
 		if m.Servers == nil {
 			return errNoList
 		}
-		in.whole = values.InputOffset()
-		tell(news{from: w, list: &m})
+		behind, _ := io.ReadAll(values.Buffered()) // of memory: never fails
+		in.ended(values.InputOffset(), behind)
+		tell(&m)
 	}
 }
