--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -19,7 +19,7 @@
 	front    *front
 	listener net.Listener
 	server   *http.Server
-	lobby    lobby
+	waiting  waitingConns
 	record   func(standing) error // where a successor finds it; may be nil
 	within   time.Duration        // an answer is given
 }
@@ -38,13 +38,13 @@
 }
 
 func newAdmin(cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
-	a := &admin{log: log, loop: l, front: f, lobby: newLobby(), within: callWithin}
+	a := &admin{log: log, loop: l, front: f, waiting: newWaitingConns(), within: callWithin}
 	ln, err := listenTCP(cfg.Mgmt)
 	if err != nil {
 		return nil, fmt.Errorf("mgmt: %w", err)
 	}
 	limited := newLimitListener(ln, doorSockets)
-	limited.full = a.lobby.makeRoom // who calls and says nothing must not keep out those who would
+	limited.full = a.waiting.makeRoom // who calls and says nothing must not keep out those who would
 	a.listener = limited
 	a.server = &http.Server{
 		Handler:        a,
@@ -52,7 +52,7 @@
 		WriteTimeout:   doorTimeout + 2*callWithin,
 		MaxHeaderBytes: maxCall,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnState:      a.lobby.track,
+		ConnState:      a.waiting.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerKey{}, c)
 		},
@@ -103,7 +103,7 @@
 		http.Error(w, "the call can't be read", http.StatusBadRequest)
 		return
 	}
-	if c, ok := hr.Context().Value(callerKey{}).(net.Conn); ok && !a.lobby.takes(c) {
+	if c, ok := hr.Context().Value(callerKey{}).(net.Conn); ok && !a.waiting.claim(c) {
 		panic(http.ErrAbortHandler) // closed to make room before it was whole
 	}
 	switch hr.URL.Path {
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -242,7 +242,7 @@
 		t.Fatal(err)
 	}
 	defer far.Close()
-	c := &framedConn{Conn: &limitedConn{TCPConn: far.(*net.TCPConn), release: func() {}}}
+	c := &limitedConn{TCPConn: far.(*net.TCPConn), release: func() {}}
 	if unread(c) {
 		t.Error("bytes seen where none are")
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,8 +2,8 @@
 // into the module's events and carries out its actions, in order. It decides nothing about
 // requests: it neither picks backends nor retries, holds or refuses.
 //
-// The loop (loop.go) owns the module; the front (front.go) serves clients, backends.go makes
-// attempts, stream.go passes large bodies and answers through, discovery follows the list, peers.go
+// The loop (loop.go) owns the module; the front (front.go) serves clients, on connections that clientconn.go reads,
+// backends.go makes attempts, stream.go passes large bodies and answers through, discovery follows the list, peers.go
 // exchanges datagrams with other agents, admin.go takes operators' calls, and handover.go tells the
 // next process what it must know.
 package agent
@@ -33,26 +33,16 @@
 	handover  *handover // nil: this process has no successor
 	together  Together  // nil: it has no fleet
 	listener  *limitListener
-	retireIn  time.Duration           // a process that has a successor ends
+	closed    bool                    // the listener; stop's
+	stopIn    time.Duration           // after a SIGTERM the last answers are out
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
 }
 
-// acceptAfterStop is how long new connections are taken after a SIGTERM: clients are told of a
-// planned restart up to 0.4 s late.
-const acceptAfterStop = 450 * time.Millisecond
-
-// silentAfterStop is how long after that a connection may still come up with its first request.
-const silentAfterStop = 250 * time.Millisecond
-
-// drainSlack is what a drain may take past the time that the last clients wait. The platform
-// kills 0.7 s after the longest deadline.
-const drainSlack = 600 * time.Millisecond
-
 // New listens and sets up an agent. Clients are served once Run is called.
 func New(cfg *Config, log *slog.Logger) (*Agent, error) {
 	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log),
-		accept:   func() <-chan time.Time { return time.After(acceptAfterStop) },
-		retireIn: min(cfg.longest(), longestKept) + drainSlack}
+		accept: func() <-chan time.Time { return time.After(acceptAfterStop) },
+		stopIn: min(cfg.longest(), longestKept) + stopSlack}
 	ck := newClock()
 	var err error
 	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
@@ -174,42 +164,8 @@
 	case <-stop.Done():
 	}
 	if a.handover != nil {
-		return a.retire(served, deaf)
-	}
-	return a.drain(served)
-}
-
-// drain keeps taking connections for a while, closes each once it has its answer, and returns
-// when nothing is open, or when the platform is about to kill.
-func (a *Agent) drain(served <-chan error) error {
-	a.log.Info("stopping")
-	a.front.taking.Store(false)
-	limit, cancel := context.WithTimeout(context.Background(), a.cfg.longest()+drainSlack)
-	defer cancel()
-	// Closes idle connections at once: a client whose request crosses that opens a new connection,
-	// which is still accepted.
-	a.front.server.SetKeepAlivesEnabled(false)
-	select {
-	case err := <-served:
-		return fmt.Errorf("listen: %w", err)
-	case <-a.accept():
-	}
-	// A connection that has sent nothing by now most likely never will, and Shutdown would wait for it.
-	silent := time.AfterFunc(silentAfterStop, a.front.closeSilent)
-	defer silent.Stop()
-	err := a.front.server.Shutdown(limit)
-	if open := a.front.open.Load(); err != nil && open > 0 {
-		// Large bodies and answers take their time. What the platform's kill ends is excused, what the
-		// process itself ends is lost.
-		a.log.Warn("still answering", "open", open)
-		err = a.front.server.Shutdown(context.Background())
-	}
-	if err != nil {
-		a.log.Warn("stopping", "error", err)
-	}
-	if err := a.front.server.Close(); err != nil {
-		a.log.Warn("closing", "error", err)
+		deaf() // the peers' address is the successor's
 	}
-	a.log.Info("stopped")
+	a.stop(served)
 	return nil // a stop that was asked for is no failure
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -127,7 +127,7 @@
 	a.front.server.ReadHeaderTimeout, a.front.server.IdleTimeout = 2*patience, 2*patience // nor a rude client
 	a.front.body, a.front.gap = 2*patience, 2*patience
 	a.accept = func() <-chan time.Time { return accept }
-	a.retireIn = 2 * patience
+	a.stopIn = 2 * patience
 	go func() { r.done <- a.Run(ctx); close(r.done) }()
 	t.Cleanup(func() {
 		cancel()
@@ -694,7 +694,7 @@
 	l.take(arrived{r})
 	l.take(overdue{r})
 	l.take(overdue{r}) // once only
-	l.take(left{r})
+	l.take(clientGone{r})
 	if a := receive(t, "final answer", r.reply); !a.timedOut {
 		t.Errorf("%+v", a)
 	}
@@ -730,7 +730,7 @@
 	r := newRequest("1", 0)
 	r.deadline = time.Now().Add(time.Minute)
 	l.take(arrived{r})
-	l.take(left{r})
+	l.take(clientGone{r})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { l.run(ctx); close(done) }()
@@ -944,9 +944,9 @@
 	waitFor(t, "one silent connection", func() bool {
 		a.front.mu.Lock()
 		defer a.front.mu.Unlock()
-		return len(a.front.silent) == 1 && a.front.conns == 2
+		return len(a.front.waiting) == 1 && a.front.conns == 2
 	})
-	a.front.closeSilent()
+	a.front.closeIdle(0, 0)
 	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/agent/clientconn.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// clientConn is a connection of a client. A task of its own is the only one that reads the socket, ahead of the server:
+// net/http reads no further than one byte behind a request, and would not see that a client has gone who has sent
+// more than that.
+type clientConn struct {
+	net.Conn
+	since time.Time       // it was accepted
+	gone  context.Context // ends with the client's side of the connection, or with this one
+	left  context.CancelFunc
+
+	mu       sync.Mutex
+	changed  sync.Cond
+	ahead    []byte // read, and not yet taken by the server
+	err      error  // after that
+	ended    bool   // the task has read the last
+	closing  bool   // this side has closed: what still comes is dropped
+	awaiting bool   // the server owes an answer: what comes now belongs to no request that it has
+	flooded  bool   // more came then than is kept
+	written  bool   // an answer, or part of one
+	until    time.Time
+	timer    *time.Timer
+	first    time.Time // the first byte of the present request came; zero: none has
+	done     int       // requests that have their answer
+	framing
+}
+
+const (
+	readPart  = 4 << 10  // bytes read at once, and kept unless an answer is owed
+	aheadMost = 16 << 10 // and kept then: clients send one request at a time
+	// A connection is closed over bytes that came and were not read by a reset, which takes the last answer with it. So
+	// this side ends its sending, and drops what comes until the client closes, as net/http does after an unread body.
+	lingerMost = 500 * time.Millisecond
+)
+
+// clientListener hands out clients' connections, each with the task that reads it.
+type clientListener struct {
+	net.Listener
+	tasks *sync.WaitGroup
+}
+
+func (l clientListener) Accept() (net.Conn, error) {
+	socket, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newClientConn(socket)
+	l.tasks.Go(c.receive)
+	return c, nil
+}
+
+func newClientConn(socket net.Conn) *clientConn {
+	c := &clientConn{Conn: socket, since: time.Now()}
+	c.gone, c.left = context.WithCancel(context.Background())
+	c.changed.L = &c.mu
+	return c
+}
+
+// receive reads the socket until its end.
+func (c *clientConn) receive() {
+	p := make([]byte, readPart)
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.keep(p[:n], err) {
+			return
+		}
+	}
+}
+
+// keep takes what was read, and waits for room. It reports false after the last.
+func (c *clientConn) keep(p []byte, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p) > 0 && !c.closing && !c.flooded {
+		if c.flooded = c.awaiting && len(c.ahead)+len(p) > aheadMost; !c.flooded {
+			c.ahead = append(c.ahead, p...)
+			c.begin()
+		}
+	}
+	if err != nil {
+		c.ended = true
+		c.end(err)
+		if c.closing {
+			c.Conn.Close()
+		}
+		return false
+	}
+	c.changed.Broadcast()
+	for len(c.ahead) >= readPart && !c.closing && !c.awaiting {
+		c.changed.Wait()
+	}
+	return true
+}
+
+// begin notes when a request began to come. The lock is held.
+func (c *clientConn) begin() {
+	if !c.awaiting && c.first.IsZero() {
+		c.first = time.Now()
+	}
+}
+
+// end has nothing more of the client taken. The lock is held.
+func (c *clientConn) end(err error) {
+	if c.err == nil {
+		c.err = err
+	}
+	c.left()
+	c.changed.Broadcast()
+}
+
+// Read hands the server what has come. Of a client that has gone it gets no further request.
+func (c *clientConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		switch {
+		case !c.until.IsZero() && !time.Now().Before(c.until):
+			return 0, os.ErrDeadlineExceeded
+		case c.err != nil && (len(c.ahead) == 0 || c.awaiting || c.done > 0 || c.closing):
+			return 0, c.err
+		case len(c.ahead) > 0:
+			n := copy(p, c.ahead)
+			if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+				c.ahead = nil
+			}
+			c.follow(p[:n])
+			c.changed.Broadcast()
+			return n, nil
+		case c.flooded:
+			return 0, errFlooded
+		}
+		c.changed.Wait()
+	}
+}
+
+var errFlooded = errors.New("the client sends more than one request at a time")
+
+// SetReadDeadline bounds the server's reads, not those of the task.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = t
+	switch {
+	case t.IsZero():
+		if c.timer != nil {
+			c.timer.Stop()
+		}
+	case c.timer == nil:
+		c.timer = time.AfterFunc(time.Until(t), func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.changed.Broadcast()
+		})
+	default:
+		c.timer.Reset(time.Until(t))
+	}
+	c.changed.Broadcast()
+	return nil
+}
+
+func (c *clientConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.written = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// Close ends the connection. Where an answer was written the client can still read it: the task drops what comes, and
+// closes the socket.
+func (c *clientConn) Close() error {
+	c.mu.Lock()
+	linger := c.written && !c.ended && !c.closing
+	c.shut()
+	c.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); linger && ok && half.CloseWrite() == nil &&
+		c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) == nil {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// abort closes the connection at once.
+func (c *clientConn) abort() {
+	c.mu.Lock()
+	c.shut()
+	c.mu.Unlock()
+	c.Conn.Close()
+}
+
+// shut has this side closed. The lock is held.
+func (c *clientConn) shut() {
+	c.closing = true
+	c.end(net.ErrClosed)
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
+// await says that the present request has come whole.
+func (c *clientConn) await() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = true
+	c.changed.Broadcast()
+}
+
+// rest says that the present request has its answer.
+func (c *clientConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting, c.first = false, time.Time{}
+	c.done++
+	if len(c.ahead) > 0 {
+		c.begin()
+	}
+}
+
+// over reports whether the connection ends with the present answer, since what came behind it was not kept.
+func (c *clientConn) over() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.flooded
+}
+
+// reading reports whether part of a request has come that has no answer.
+func (c *clientConn) reading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead) > 0 || c.inside || c.whole > c.done || unread(c.Conn)
+}
+
+// requestSince is when the present request began to come: the first one with its connection.
+func (c *clientConn) requestSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.done == 0:
+		return c.since
+	case c.first.IsZero():
+		return time.Now() // it came with the one before
+	}
+	return c.first
+}
+
+// CloseWrite lets net/http end its sending before it closes, so that a reset does not overtake a
+// last answer.
+func (c *clientConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// unread reports whether bytes lie on a connection that nobody has read.
+func unread(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { // not Read: the task waits in one
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,9 +38,9 @@
 
 	residency gate.Keeper // nil: no policy
 
-	lobby
-	conns  int
-	silent map[net.Conn]bool // have not sent a byte yet
+	waitingConns
+	conns   int
+	readers sync.WaitGroup // of connections: each ends with its socket
 }
 
 // Anyone may connect, and a peer that sends no whole request is owed an error or a close within
@@ -54,7 +55,7 @@
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
 	f := &front{cfg: cfg, loop: l, classes: map[string]int{},
-		body: bodyTimeout, gap: bodyGap, lobby: newLobby(), silent: map[net.Conn]bool{}}
+		body: bodyTimeout, gap: bodyGap, waitingConns: newWaitingConns()}
 	f.allow(clientSockets(cfg.shareable()))
 	for i, name := range cfg.Site.Classes {
 		f.classes[name] = i
@@ -69,7 +70,13 @@
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState:      f.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, framedKey{}, c)
+			client, ok := c.(*clientConn)
+			if !ok {
+				return ctx
+			}
+			ctx, end := context.WithCancel(context.WithValue(ctx, clientKey{}, client))
+			context.AfterFunc(client.gone, end)
+			return ctx
 		},
 	}
 	return f
@@ -83,26 +90,28 @@
 	f.most.Store(int64(most))
 }
 
-type framedKey struct{}
+type clientKey struct{}
+
+// clientOf is the connection that a request came on; nil: none of this front's.
+func clientOf(hr *http.Request) *clientConn {
+	c, _ := hr.Context().Value(clientKey{}).(*clientConn)
+	return c
+}
 
-// serve takes connections until the server is shut down.
-func (f *front) serve(l net.Listener) error { return f.server.Serve(framedListener{l}) }
+// serve takes connections until the listener is closed.
+func (f *front) serve(l net.Listener) error { return f.server.Serve(clientListener{l, &f.readers}) }
 
 // track counts connections as they come and go.
 func (f *front) track(c net.Conn, s http.ConnState) {
-	f.lobby.track(c, s)
+	if c, ok := c.(*clientConn); ok && s == http.StateIdle {
+		c.rest() // before it may be closed as idle
+	}
+	f.waitingConns.track(c, s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.silent, c)
 	switch s {
 	case http.StateNew:
-		f.silent[c] = true
 		f.conns++
-	case http.StateIdle:
-		if c, ok := c.(*framedConn); ok {
-			c.first.Store(0)
-			c.later.Store(true)
-		}
 	case http.StateClosed:
 		f.conns--
 	}
@@ -137,10 +146,8 @@
 			since = time.Time{}
 		case since.IsZero():
 			since = time.Now()
-		case time.Since(since) >= emptyIdle && f.leaves.Load() != 0:
-			f.closeIdle(0) // what comes from now on must be answered before the platform kills
-		case time.Since(since) >= emptyIdle:
-			f.closeIdle(emptyIdle)
+		case time.Since(since) >= emptyIdle && f.leaves.Load() == 0:
+			f.closeIdle(emptyIdle, emptyIdle)
 		}
 	}
 }
@@ -159,15 +166,6 @@
 	return f.conns > 0
 }
 
-// closeSilent closes the connections on which nothing was ever sent.
-func (f *front) closeSilent() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.silent {
-		c.Close()
-	}
-}
-
 // ServeHTTP takes one request. There is no mux: it would answer unclean paths with redirects.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if hr.ContentLength != 0 {
@@ -186,7 +184,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	f.letGo(w)
+	f.closeAfterReply(w)
 	err := checkFraming(hr)
 	var r *request
 	if err == nil {
@@ -200,9 +198,14 @@
 		http.Error(w, err.text, err.status)
 		return
 	}
-	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok && !f.takes(c) {
+	client := clientOf(hr)
+	if client != nil && !f.claim(client) {
 		panic(http.ErrAbortHandler)
 	}
+	if hr.Context().Err() != nil { // also where it came with others, and the client has gone since
+		f.answer(w, hr, reply{})
+		return
+	}
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
 	if f.open.Add(1) > f.most.Load() {
 		f.open.Add(-1)
@@ -212,8 +215,14 @@
 	defer f.open.Add(-1)
 	u := r.message.upload
 	if u == nil {
+		if client != nil {
+			client.await()
+		}
 		a := f.wait(hr, r)
-		f.letGo(w)
+		f.closeAfterReply(w)
+		if client != nil && client.over() {
+			w.Header().Set("Connection", "close")
+		}
 		f.answer(w, hr, a)
 		return
 	}
@@ -224,7 +233,7 @@
 			most: max(f.gap, clientStall), got: int64(len(r.message.body))}, f.loop.backends.buffers)
 	}()
 	a := f.wait(hr, r)
-	f.letGo(w)
+	f.closeAfterReply(w)
 	f.endUpload(w, u)
 	<-pumped
 	select {
@@ -251,14 +260,14 @@
 // bodyTime is what is left for a small body. Clients may take 2 s for a header, and cut what they send
 // anywhere; a peer that never sends a whole request is sent away 3 s after it has connected.
 func (f *front) bodyTime(hr *http.Request) time.Duration {
-	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+	if c := clientOf(hr); c != nil {
 		return f.body - time.Since(c.requestSince())
 	}
 	return f.body
 }
 
-// letGo has a connection end with its answer where too many are kept, or none are to be.
-func (f *front) letGo(w http.ResponseWriter) {
+// closeAfterReply has a connection end with its answer where too many are kept, or none are to be.
+func (f *front) closeAfterReply(w http.ResponseWriter) {
 	if f.crowded() || f.emptying() {
 		w.Header().Set("Connection", "close")
 	}
@@ -287,10 +296,10 @@
 			late.Reset(time.Until(u.at.Add(r.left)) + f.cfg.Settings.AnswerGrace/2)
 			come = nil
 		case <-failed:
-			f.loop.post(left{r})
+			f.loop.post(clientGone{r})
 			failed = nil
 		case <-hungUp:
-			f.loop.post(left{r})
+			f.loop.post(clientGone{r})
 			hungUp = nil
 		case <-late.C:
 			f.loop.post(overdue{r})
@@ -315,7 +324,7 @@
 
 // checkFraming tells requests whose end is in doubt.
 func checkFraming(hr *http.Request) *inputError {
-	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok && c.ambiguous.Load() {
+	if c := clientOf(hr); c != nil && c.ambiguous.Load() {
 		return bad("both Content-Length and Transfer-Encoding")
 	}
 	if !hr.ProtoAtLeast(1, 1) { // net/http ignores its Transfer-Encoding, whatever body that announces
@@ -408,7 +417,7 @@
 		return nil, false, badBody(&http.MaxBytesError{Limit: largest})
 	}
 	if hr.ContentLength > maxBody {
-		if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+		if c := clientOf(hr); c != nil {
 			boundKernel(c.Conn)
 		}
 	}
@@ -478,7 +487,7 @@
 	defer s.end(errEnded)
 	gone := context.AfterFunc(hr.Context(), func() { s.cancel(errCancelled) })
 	defer gone()
-	if c, ok := hr.Context().Value(framedKey{}).(*framedConn); ok {
+	if c := clientOf(hr); c != nil {
 		boundKernel(c.Conn)
 	}
 	copyHeader(w, a)
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -220,7 +220,7 @@
 		"POST /b HTTP/1.1\r\nX-Long: " + strings.Repeat("Transfer-Encoding:", 40) + "\nContent-Length: 0\n\n"
 	both := "POST /c HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for size := 1; size < len(plain); size++ {
-		var c framedConn
+		var c framing
 		for part := range slices.Chunk([]byte(plain), size) {
 			c.follow(part)
 		}
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -61,7 +61,6 @@
 	lockWithin   = 300 * time.Millisecond // the other process writes a small file meanwhile
 	lockEvery    = 5 * time.Millisecond
 	readyWithin  = 3 * time.Second // clients are taken even without a list by then: a yes is due within 6 s
-	longestKept  = 3 * time.Second // of the longest deadline, that the platform waits before it kills
 )
 
 // newHandover reads what an earlier process left. A record that can't be used is worked around.
@@ -384,31 +383,3 @@
 		}
 	}
 }
-
-// retire leaves the clients to a successor: it takes no further connection, has each end with its
-// answer, and returns once none is left. Whatever is still being answered when the platform kills is excused;
-// what the process itself ends is lost.
-func (a *Agent) retire(served <-chan error, deaf context.CancelFunc) error {
-	a.log.Info("stopping, a successor takes the clients")
-	end := time.Now().Add(a.retireIn)
-	a.front.taking.Store(false)
-	a.front.leaves.Store(end.UnixNano())
-	deaf() // the peers' address is the successor's
-	if err := a.listener.Close(); err != nil {
-		a.log.Warn("closing", "error", err)
-	}
-	<-served
-	tick := time.NewTicker(lookEvery / 10)
-	defer tick.Stop()
-	for late := false; a.front.anyone(); <-tick.C {
-		if open := a.front.open.Load(); !late && open > 0 && time.Now().After(end) {
-			late = true
-			a.log.Warn("still answering", "open", open)
-		}
-	}
-	if err := a.front.server.Close(); err != nil {
-		a.log.Warn("closing", "error", err)
-	}
-	a.log.Info("stopped")
-	return nil
-}
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -307,7 +307,7 @@
 	})
 	ln := listen(t)
 	a := start(t, upgradable(t, ln, t.TempDir(), setup{servers: []member{s}}))
-	a.retireIn = 0
+	a.stopIn = 0
 	waitFor(t, "clients to be taken", a.front.taking.Load)
 	c := connect(t, a)
 	c.send(fmt.Sprintf("GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID()))
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -63,11 +63,11 @@
 
 // What is posted to the loop, besides discovery.Update and the module's own ProbeResult and PeerMessage.
 type (
-	arrived struct{ *request }
-	left    struct{ *request } // the client hung up
-	overdue struct{ *request } // its time and half the grace are up and no answer is there
-	whole   struct{ *request } // its large body has come to the last byte
-	began   struct {           // the answer of an attempt is large, and its first bytes are here
+	arrived    struct{ *request }
+	clientGone struct{ *request } // closed, reset, or withdrew
+	overdue    struct{ *request } // its time and half the grace are up and no answer is there
+	whole      struct{ *request } // its large body has come to the last byte
+	began      struct {           // the answer of an attempt is large, and its first bytes are here
 		*request
 		attempt int
 		answer  *answer
@@ -313,7 +313,7 @@
 		}
 		l.pending = append(l.pending, e.outcome)
 		l.forget(e.request)
-	case left:
+	case clientGone:
 		if !e.done {
 			l.counts.gone++
 			l.finish(e.request, reply{})
--- a/internal/agent/sockets.go
+++ b/internal/agent/sockets.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,7 +42,8 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
-	full   func() // asked for a slot while none is free; may be nil
+	full   func()      // asked for a slot while none is free; may be nil
+	waits  atomic.Bool // for a slot: connections may wait in the kernel
 }
 
 // askAgain is how often, while none is given back.
@@ -83,6 +85,8 @@
 		return nil
 	default:
 	}
+	l.waits.Store(true)
+	defer l.waits.Store(false)
 	ask := time.NewTicker(askAgain)
 	defer ask.Stop()
 	for {
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -386,7 +386,7 @@
 							e.reply <- reply{refused: true}
 						}
 					}()
-				case left:
+				case clientGone:
 					e.reply <- reply{}
 				}
 			case <-f.loop.stopped:
@@ -492,7 +492,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(emptyIdle)
-		f.closeIdle(emptyIdle)
+		f.closeIdle(emptyIdle, emptyIdle)
 		if _, err := io.WriteString(c, text[20:]); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/agent/lobby.go
+++ b/internal/agent/waiting.go
@@ -4,12 +4,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// lobby knows the connections that have no whole request open.
-type lobby struct {
+// waitingConns knows the connections that have no whole request open. Whoever takes one out owns it: the request that
+// has come whole on it, or who closes it.
+type waitingConns struct {
 	mu      sync.Mutex
 	waiting map[net.Conn]waitingIn
 }
@@ -24,10 +24,10 @@
 // gives way: proper clients send their request at once.
 const leastWait = 150 * time.Millisecond
 
-func newLobby() lobby { return lobby{waiting: map[net.Conn]waitingIn{}} }
+func newWaitingConns() waitingConns { return waitingConns{waiting: map[net.Conn]waitingIn{}} }
 
 // track follows a connection's state as net/http tells it.
-func (l *lobby) track(c net.Conn, s http.ConnState) {
+func (l *waitingConns) track(c net.Conn, s http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch s {
@@ -40,9 +40,9 @@
 	}
 }
 
-// takes notes that a request has come whole on a connection. It reports false where the connection
-// has been closed to make room: its client is told nothing, and nothing of it may be sent on.
-func (l *lobby) takes(c net.Conn) bool {
+// claim takes a connection for the request that has come whole on it. It reports false where the connection
+// has been closed: its client is told nothing, and nothing of it may be sent on.
+func (l *waitingConns) claim(c net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, open := l.waiting[c]
@@ -53,7 +53,7 @@
 // makeRoom closes one connection of those that have waited for a while: the one that has waited
 // longest for its first whole request, or, where all have sent one, the one idle longest. Whoever
 // connects and sends nothing must not keep out those who would.
-func (l *lobby) makeRoom() {
+func (l *waitingConns) makeRoom() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var oldest net.Conn
@@ -65,41 +65,31 @@
 			oldest = c
 		}
 	}
-	if oldest != nil {
-		delete(l.waiting, oldest)
+	if oldest == nil {
+		return
+	}
+	delete(l.waiting, oldest)
+	if c, ok := oldest.(*clientConn); ok {
+		c.abort() // its descriptor is wanted now
+	} else {
 		oldest.Close()
 	}
 }
 
 // closeIdle closes the connections on which nothing has come for so long, and nothing lies unread:
-// a client whose request crosses a close is turned back unheard.
-func (l *lobby) closeIdle(idle time.Duration) {
+// a client whose request crosses a close is turned back unheard. Those that never had a request are given their own time;
+// below 0 they are left.
+func (l *waitingConns) closeIdle(idle, silent time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c, w := range l.waiting {
 		if r, ok := c.(interface{ reading() bool }); ok && r.reading() {
 			continue // net/http tells of a request only once its header is whole
 		}
-		if time.Since(w.since) >= idle && !unread(c) {
-			delete(l.waiting, c)
-			c.Close()
+		if w.first && (silent < 0 || time.Since(w.since) < silent) || !w.first && time.Since(w.since) < idle {
+			continue
 		}
+		delete(l.waiting, c)
+		c.Close()
 	}
 }
-
-// unread reports whether bytes lie on a connection that nobody has read.
-func unread(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) { // not Read: the server waits in one
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
