--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -183,3 +183,67 @@
 		t.Errorf("%v; log %q", err, log)
 	}
 }
+
+// A process that starts at the address of one that is told to end and still has a request to answer, with discovery down and a
+// list that is known, serves as soon as the address is free; the older one's request has its answer.
+func TestRestartBesideADrainingProcess(t *testing.T) {
+	came, hold := make(chan struct{}, 10), make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if came <- struct{}{}; r.URL.Path == "/get/held" {
+			<-hold
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})}
+	go func() { _ = server.Serve(ln) }()
+	defer server.Close()
+	addr := freeAddr(t)
+	text := fmt.Sprintf(config, addr, freeAddr(t), ln.Addr().String())
+	older, _ := program(t, text)
+	awaitReady(t, addr)
+	get := func(path string) string {
+		req, err := http.NewRequest("GET", "http://"+addr+path, nil)
+		if err != nil {
+			return err.Error()
+		}
+		req.Header.Set("X-Trace-Id", path)
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+		if err != nil {
+			return err.Error()
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return fmt.Sprint(resp.StatusCode, string(body), err)
+	}
+	answered := make(chan string, 1)
+	go func() { answered <- get("/get/held") }()
+	select {
+	case <-came:
+	case <-time.After(patience):
+		t.Fatal("the request did not arrive")
+	}
+	if err := older.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	younger, log := program(t, text) // the older one listens still
+	awaitReady(t, addr)              // its own health is a no by now
+	if got := get("/get/new"); got != "200/get/new<nil>" {
+		t.Errorf("%q; log %q", got, log)
+	}
+	close(hold)
+	if got := <-answered; got != "200/get/held<nil>" {
+		t.Errorf("the older one's request: %q", got)
+	}
+	if err := older.Wait(); err != nil {
+		t.Error(err)
+	}
+	if err := younger.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := younger.Wait(); err != nil {
+		t.Errorf("%v; log %q", err, log)
+	}
+}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -37,9 +37,9 @@
 	at      time.Time
 }
 
-func newAdmin(cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
+func newAdmin(ctx context.Context, cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
 	a := &admin{log: log, loop: l, front: f, waiting: newWaitingConns(), within: callWithin}
-	ln, err := listenTCP(cfg.Mgmt)
+	ln, err := listenTCP(ctx, cfg.Mgmt, nil)
 	if err != nil {
 		return nil, fmt.Errorf("mgmt: %w", err)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,10 +10,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"brookferry"
@@ -38,8 +40,9 @@
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
 }
 
-// New listens and sets up an agent. Clients are served once Run is called.
-func New(cfg *Config, log *slog.Logger) (*Agent, error) {
+// New listens and sets up an agent. Clients are served once Run is called. It waits for an address that another process
+// still has, until ctx ends.
+func New(ctx context.Context, cfg *Config, log *slog.Logger) (*Agent, error) {
 	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log),
 		accept: func() <-chan time.Time { return time.After(acceptAfterStop) },
 		stopIn: min(cfg.longest(), longestKept) + stopSlack}
@@ -69,11 +72,11 @@
 	a.front = newFront(cfg, a.loop, log)
 	a.front.residency = a.loop.residency
 	if cfg.Mgmt != "" {
-		if a.admin, err = newAdmin(cfg, a.loop, a.front, log); err != nil {
+		if a.admin, err = newAdmin(ctx, cfg, a.loop, a.front, log); err != nil {
 			return nil, err
 		}
 	}
-	ln, err := a.listen()
+	ln, err := a.listen(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -86,23 +89,47 @@
 }
 
 // listen returns where clients connect.
-func (a *Agent) listen() (*net.TCPListener, error) {
+func (a *Agent) listen(ctx context.Context) (*net.TCPListener, error) {
 	if a.cfg.ListenFD > 0 {
 		return inheritedListener(a.cfg.ListenFD)
 	}
-	ln, err := listenTCP(a.cfg.Listen)
+	ln, err := listenTCP(ctx, a.cfg.Listen, nil)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return ln, nil
 }
 
-func listenTCP(text string) (*net.TCPListener, error) {
+const (
+	freeWithin = 8 * time.Second // a restarted process is to be ready within 10 s
+	freeEvery  = 20 * time.Millisecond
+)
+
+// listenTCP listens at an address. The process before this one may still drain there: it is waited for, with a try each
+// time that again tells; nil: every freeEvery.
+func listenTCP(ctx context.Context, text string, again <-chan time.Time) (*net.TCPListener, error) {
 	addr, err := net.ResolveTCPAddr("tcp", text)
 	if err != nil {
 		return nil, err
 	}
-	return net.ListenTCP("tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, freeWithin)
+	defer cancel()
+	if again == nil {
+		tick := time.NewTicker(freeEvery)
+		defer tick.Stop()
+		again = tick.C
+	}
+	for {
+		ln, err := net.ListenTCP("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return ln, err
+		}
+		select {
+		case <-again:
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
 }
 
 // Addr is where clients connect.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -117,7 +117,7 @@
 // startUntil runs an agent that, once stopped, takes connections until accept is closed.
 func startUntil(t *testing.T, cfg *Config, accept <-chan time.Time) *running {
 	t.Helper()
-	a, err := New(cfg, quiet)
+	a, err := New(t.Context(), cfg, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -193,7 +194,7 @@
 func TestStopBeforeReady(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
 	cfg := testConfig(t, setup{servers: []member{s.member("s")}})
-	a, err := New(cfg, quiet)
+	a, err := New(t.Context(), cfg, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -210,3 +211,32 @@
 	close(accept)
 	r.ended(t)
 }
+
+// The address may still be another process's: a restarted one waits for it, and ends when it is told to.
+func TestAddressOfTheProcessBefore(t *testing.T) {
+	old := listen(t)
+	type listened struct {
+		ln  *net.TCPListener
+		err error
+	}
+	done, again := make(chan listened, 1), make(chan time.Time)
+	go func() { ln, err := listenTCP(t.Context(), old.Addr().String(), again); done <- listened{ln, err} }()
+	again <- time.Now() // the first try has failed
+	again <- time.Now() // the second
+	old.Close()
+	var l listened
+	select {
+	case again <- time.Now():
+		l = receive(t, "listener", done)
+	case l = <-done: // the second try came after the close
+	}
+	if l.err != nil {
+		t.Fatal(l.err)
+	}
+	defer l.ln.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := listenTCP(ctx, l.ln.Addr().String(), again); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("an address that is never free: %v", err)
+	}
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -30,7 +30,7 @@
 	// The heap is small: collect seldom, but well before the memory limit kills the process.
 	debug.SetGCPercent(400)
 	cfg.LimitMemory()
-	a, err := New(cfg, log.With("agent", cfg.Name))
+	a, err := New(stop, cfg, log.With("agent", cfg.Name))
 	if err != nil {
 		return err
 	}
