--- a/api.go
+++ b/api.go
@@ -234,6 +234,7 @@
 	Send struct {
 		Request, Backend string
 		Timeout          time.Duration
+		Before           time.Duration // its last byte must be out by then, or the attempt is none; 0: no bound
 	}
 	// Cancel withdraws an attempt; its Outcome still comes.
 	Cancel struct {
--- a/attempts.go
+++ b/attempts.go
@@ -5,12 +5,14 @@
 import "time"
 
 type attempt struct {
-	b    *backend
-	sent time.Duration
-	cost float64
-	open bool
-	late bool // found overdue: its delay is already counted
-	mute bool // its silence is already counted against its zone
+	b          *backend
+	zone, cell int // where it was when it was sent: a list may tell otherwise later
+	sent       time.Duration
+	before     time.Duration // its last byte must be out by then; 0: no bound
+	cost       float64
+	open       bool
+	late       bool // found overdue: its delay is already counted
+	mute       bool // its silence is already counted against its zone
 
 	at    bool // in its backend's out
 	large bool // its body came after it was sent, or its answer is large: no time tells that it is overdue
@@ -41,6 +43,15 @@
 	coming                  bool // its body is
 }
 
+// before is when the last byte of a further attempt must be out: until then its backend drops a repeat. 0: no bound.
+func (b *Balancer) before(r *request) time.Duration {
+	c := &b.classes[r.class]
+	if c.Effect != Keyed || r.risky == 0 {
+		return 0
+	}
+	return r.anchor.sent + c.Window
+}
+
 // enter books an attempt at its backend. With a body that is still coming it holds no place: the
 // backend has nothing to do yet, and no time runs.
 func (b *Balancer) enter(r *request, a *attempt) {
--- a/brookferry.go
+++ b/brookferry.go
@@ -188,7 +188,7 @@
 	if b.binds(r) && (len(t.out) > 0 || b.zone(t).pace > slowPace) {
 		b.reserve(r)
 	}
-	a := &attempt{b: t, sent: b.now, cost: max(b.expected(r), 1), open: true}
+	a := &attempt{b: t, zone: t.Zone, cell: t.Cell, sent: b.now, before: b.before(r), cost: max(b.expected(r), 1), open: true}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.risky++; r.anchor == nil {
@@ -203,7 +203,7 @@
 		b.watched[b.alarm(time.Duration(min(aim, max(overdueAt*aim, overdueCost*a.cost))))] = a
 	}
 	t.budget -= b.expected(r) / b.classes[r.class].latency // tells while it is cold
-	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
+	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID, Before: a.before})
 }
 
 // finish gives a request its final answer. Nothing else does. It is a refusal
--- a/rare_test.go
+++ b/rare_test.go
@@ -34,3 +34,51 @@
 		t.Errorf("%d backends in use after connections were turned away, %d after queues were full", few, all)
 	}
 }
+
+// A repeat belongs to the pod and the zone in which the attempt before it ran, also where a list has moved that backend since;
+// and its last byte must be out while the window holds, of which the agent is told.
+func TestRepeatsKeepToWhereTheFirstRan(t *testing.T) {
+	for _, class := range []int{keyedCell, keyedZone} {
+		repeats := 0
+		for seed := range uint64(30) {
+			s := settings()
+			s.ConnectTimeout = 20 * ms
+			list := backends(6)
+			r := newRig(t, s, seed, list)
+			began := r.now
+			if a := r.request("q", class); firstSend(t, a).Before != 0 {
+				t.Fatal("a first attempt is bound")
+			}
+			first := r.sent["q"][0][0] - 'a'
+			moved := list[first]
+			moved.Cell, moved.Zone = (moved.Cell+1)%3, (moved.Zone+1)%3
+			r.now += 20 * ms
+			r.step(brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{moved}})
+			r.outcome("q", brookferry.Reset, 20*ms)
+			r.advance(200 * ms)
+			for _, id := range r.sent["q"][1:] {
+				if b := list[id[0]-'a']; b.Cell != list[first].Cell || b.ID == moved.ID {
+					t.Fatalf("class %d, seed %d: repeated at %s after %s, which has moved", class, seed, id, moved.ID)
+				}
+				if send := firstSend(t, r.actions); send.Before != began+s.Classes[class].Window {
+					t.Fatalf("class %d: bound to %v, %v after the first", class, send.Before, send.Before-began)
+				}
+				repeats++
+			}
+		}
+		if repeats < 10 {
+			t.Errorf("class %d: %d repeats in 30 plays", class, repeats)
+		}
+	}
+}
+
+func firstSend(t *testing.T, actions []brookferry.Action) brookferry.Send {
+	t.Helper()
+	for _, a := range actions {
+		if a, ok := a.(brookferry.Send); ok {
+			return a
+		}
+	}
+	t.Fatal("nothing was sent")
+	panic("unreachable")
+}
--- a/retries.go
+++ b/retries.go
@@ -48,10 +48,9 @@
 		return true
 	}
 	// A repeat may reach its backend a connect time-out after it is sent: the window must hold then.
-	if c.Effect == Unsafe || b.now+b.s.ConnectTimeout-r.anchor.sent >= c.Window {
+	if c.Effect == Unsafe || b.now+b.s.ConnectTimeout >= b.before(r) {
 		return false
 	}
-	from := r.anchor.b
-	return c.Group == GroupAll || c.Group == GroupZone && t.Zone == from.Zone ||
-		c.Group == GroupCell && t.Cell == from.Cell
+	return c.Group == GroupAll || c.Group == GroupZone && t.Zone == r.anchor.zone ||
+		c.Group == GroupCell && t.Cell == r.anchor.cell
 }
