--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -497,6 +497,7 @@
 	w.WriteHeader(http.StatusOK)
 	buf, free := f.loop.backends.buffers.get()
 	defer free()
+	var waited time.Duration // for the backend
 	for part, last := a.body, error(nil); ; {
 		err := rc.SetWriteDeadline(time.Now().Add(streamStall))
 		if err == nil {
@@ -512,8 +513,14 @@
 			s.end(nil)
 			return
 		}
+		if s.passed.Add(int64(len(part))) > largest || s.slow(waited) {
+			s.end(errStalled)
+			panic(http.ErrAbortHandler)
+		}
 		stalled := time.AfterFunc(streamStall, func() { s.cancel(errStalled) })
+		began := time.Now()
 		n, err := s.in.Read(buf)
+		waited += time.Since(began)
 		stalled.Stop()
 		if err != nil && !errors.Is(err, io.EOF) {
 			if hr.Context().Err() != nil {
--- a/internal/agent/rare_backends_test.go
+++ b/internal/agent/rare_backends_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -390,3 +391,69 @@
 		return len(p), nil // no deadline was set
 	}
 }
+
+// An answer that never ends is no answer: its client is told within its time, and can tell that it is broken. Each is bounded
+// in what it holds.
+func TestAnswersWithoutEnd(t *testing.T) {
+	for name, row := range map[string]struct {
+		start, more string // more comes again and again
+		passed      bool   // part of it is passed on
+	}{
+		"header":          {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n", false},
+		"a header line":   {"HTTP/1.1 200 OK\r\nX-A: ", "bbbbbbbb", false},
+		"1xx":             {"", "HTTP/1.1 102 Processing\r\n\r\n", false},
+		"length":          {"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", "b", false},
+		"trailer":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n", "X-A: b\r\n", true},
+		"small length":    {"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n", "b", false},
+		"chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n", true},
+		"a chunk":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n", "b", true},
+		"two lengths":     {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello", "b", false},
+		"no length":       {"HTTP/1.1 200 OK\r\n\r\n", "b", true},
+		"a silent header": {"HTTP/1.1 200 OK\r\n", "", false},
+		"a silent chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nb", "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newHandBackend(t)
+			a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+			over := make(chan struct{})
+			defer close(over)
+			go func() {
+				for {
+					select {
+					case c := <-s.conns:
+						go func() {
+							_, err := http.ReadRequest(bufio.NewReader(c))
+							for text := row.start; err == nil; text = row.more {
+								if _, err = io.WriteString(c, text); err != nil {
+									return
+								}
+								select {
+								case <-over:
+									return
+								case <-time.After(20 * time.Millisecond):
+								}
+							}
+						}()
+					case <-over:
+						return
+					}
+				}
+			}()
+			began := time.Now()
+			x := a.do("GET", "/get/x", "", "X-Expires-In", "0.6")
+			if time.Since(began) >= streamStall { // the next bound: this one was not kept
+				t.Errorf("ended after %v", time.Since(began))
+			}
+			broken := x.err != nil && !strings.Contains(x.err.Error(), "deadline") // of the test
+			if row.passed && !(broken || x.status >= 500) || !row.passed && (x.err != nil || x.status < 500) {
+				t.Errorf("%+v", x)
+			}
+			waitFor(t, "the attempt's end", func() bool {
+				a.backends.mu.Lock()
+				defer a.backends.mu.Unlock()
+				return a.backends.open == len(a.backends.idle["s"])
+			})
+		})
+	}
+}
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -219,6 +219,8 @@
 	in     io.Reader
 	cancel context.CancelCauseFunc // of the attempt
 	free   func()                  // gives back the buffer
+	passed atomic.Int64            // bytes to the client
+	bound  *time.Timer             // of an answer that is not large after all
 	once   sync.Once
 	ended  chan struct{}
 	err    error // the backend broke it off, or errEnded: nobody wants the rest; may be read once ended is closed
@@ -226,11 +228,32 @@
 
 func (s *stream) end(err error) {
 	s.once.Do(func() {
+		if s.bound != nil {
+			s.bound.Stop()
+		}
 		s.err = err
 		close(s.ended)
 	})
 }
 
+// due has the answer broken off at the client's deadline where no more has come of it by then than is held whole
+// otherwise: the time of such an answer is that of its last byte, and one that never ends would be no answer at all.
+func (s *stream) due(at time.Time) {
+	if s.length >= 0 { // it is known to be large
+		return
+	}
+	s.bound = time.AfterFunc(time.Until(at), func() {
+		if s.passed.Load() <= maxBody {
+			s.cancel(errStalled)
+		}
+	})
+}
+
+// slow reports whether a backend sends its answer slower than any would, after it was waited for so long.
+func (s *stream) slow(waited time.Duration) bool {
+	return waited > streamStall+time.Duration(s.passed.Load())*time.Second/leastPace
+}
+
 // chunk is one read of an answer of unknown length.
 type chunk struct {
 	p   []byte
