--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -247,3 +248,97 @@
 		t.Errorf("%v; log %q", err, log)
 	}
 }
+
+// Idle clients may hold all the descriptors that they can get while discovery is down. The first call after its return has one
+// all the same, and so have backends, operators and clients that ask for something. The system holds the process to its limit.
+func TestIdleClientsLeaveDescriptors(t *testing.T) {
+	const limit = 64 // the least that the program takes
+	backend := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) })}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = backend.Serve(ln) }()
+	defer backend.Close()
+	addr, discovery, door := freeAddr(t), freeAddr(t), freeAddr(t)
+	t.Setenv("PROXY_MGMT", door)
+	text := strings.Replace(fmt.Sprintf(config, addr, discovery, ln.Addr().String()), `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, limit), 1)
+	text = strings.Replace(text, `"known"`, `"unknown"`, 1)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", limit, os.Args[0]))
+	cmd.Env = append(os.Environ(), "VETCHHAVEN_TEST_MAIN=1", "PROXY_CONFIG="+path)
+	log := &bytes.Buffer{}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
+	ask := func(url string) int {
+		req, err := http.NewRequest("GET", url, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Trace-Id", url)
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}).Do(req)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	await := func(what, url string, status int) {
+		for end := time.Now().Add(patience); ask(url) != status; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: never; log %s", what, log)
+			}
+		}
+	}
+	await("the program", "http://"+addr+"/_health", 503) // it has no list
+	stop := make(chan struct{})
+	defer close(stop)
+	var held sync.WaitGroup
+	for range 2 * limit { // each comes again when it is sent away
+		held.Add(1)
+		go func() {
+			for first := true; ; first = false {
+				c, err := net.DialTimeout("tcp", addr, patience)
+				if first {
+					held.Done()
+				}
+				if err == nil {
+					go func() { <-stop; c.Close() }()
+					_, _ = c.Read(make([]byte, 1))
+					c.Close()
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+		}()
+	}
+	held.Wait()
+	back, err := net.Listen("tcp", discovery)
+	if err != nil {
+		t.Fatal(err)
+	}
+	catalog := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}]}`+"\n", ln.Addr())
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})}
+	go func() { _ = catalog.Serve(back) }()
+	defer catalog.Close()
+	await("a list", "http://"+addr+"/_health", 200)
+	await("an operator", "http://"+door+"/_ready", 200)
+	for i := range 3 {
+		await("a client", fmt.Sprintf("http://%s/get/%d", addr, i), 200)
+	}
+	if strings.Contains(log.String(), "too many open files") {
+		t.Errorf("the limit was met: %s", log)
+	}
+}
