--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -202,7 +202,8 @@
 	if client != nil && !f.claim(client) {
 		panic(http.ErrAbortHandler)
 	}
-	if hr.Context().Err() != nil { // also where it came with others, and the client has gone since
+	// Also where it came with others, and the client has gone since: the request's own context ends a moment later.
+	if client != nil && client.gone.Err() != nil {
 		f.answer(w, hr, reply{})
 		return
 	}
