--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -63,13 +63,22 @@
 
 type callerKey struct{}
 
-// run answers calls until ctx ends.
+// run answers calls until ctx ends, and then those that have come whole.
 func (a *admin) run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { a.server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		<-ctx.Done()
+		bound, cancel := context.WithTimeout(context.Background(), a.within)
+		defer cancel()
+		if a.server.Shutdown(bound) != nil { // callers who say nothing are not waited for
+			a.server.Close()
+		}
+	}()
 	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error("the operators' door is shut", "error", err)
 	}
+	<-closed
 }
 
 // calls are the paths that may be called, with their methods.
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -245,3 +245,32 @@
 		t.Errorf("an address that is never free: %v", err)
 	}
 }
+
+// An operators' call that was taken when the agent stops has its answer.
+func TestStopDuringAnOperatorsCall(t *testing.T) {
+	a, err := New(t.Context(), withDoor(t, setup{servers: []member{{ID: "s", Addr: deadAddr(t), State: "ready"}}}), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.admin.within = patience
+	entered, release := make(chan struct{}), make(chan struct{})
+	a.admin.record = func(standing) error { close(entered); <-release; return nil }
+	now := make(chan time.Time)
+	close(now)
+	a.accept = func() <-chan time.Time { return now }
+	ctx, stop := context.WithCancel(t.Context())
+	r := &running{Agent: a, done: make(chan error, 1)}
+	go func() { r.done <- a.Run(ctx) }()
+	answered := make(chan *http.Response, 1)
+	go func() { answered <- knock(t, r, put("/_backends/detach", `{"target":"s"}`)) }()
+	receive(t, "call", entered)
+	stop()
+	receive(t, "end of the loop", a.loop.stopped)
+	close(release)
+	if resp := receive(t, "answer", answered); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+	if err := receive(t, "end of the agent", r.done); err != nil {
+		t.Error(err)
+	}
+}
