--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -149,7 +149,7 @@
 	defer running.Wait()
 	defer cancel()
 	if a.handover != nil {
-		defer a.handover.owner.Close() // a younger process is alone then
+		defer a.handover.close() // a younger process is alone then
 		a.inherit()
 	}
 	if a.cfg.Known != nil && len(a.cfg.Known.Servers) > 0 {
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -33,6 +33,7 @@
 
 	mu      sync.Mutex
 	owner   *os.File    // locked by the process that was there first, until it ends
+	second  *os.File    // locked by a process that started beside it, until it ends or is the first; else nil
 	known   record      // as last read or written here
 	seen    os.FileInfo // of that file
 	applied record      // the calls in it that hold in this process
@@ -71,7 +72,12 @@
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	h.owner = owner
-	h.alone = h.first()
+	if h.alone = h.first(); !h.alone { // before the record names it: the older process takes one without a lock for gone
+		if h.second, err = h.lock("second"); err != nil {
+			owner.Close()
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+	}
 	err = h.change(func(r *record) {
 		if gone := time.Since(time.UnixMilli(r.Saved)); r.Turn > 0 && h.alone && gone > longGone {
 			log.Warn("what an earlier process left is not used", "age", gone)
@@ -81,15 +87,69 @@
 		h.turn = r.Turn
 	})
 	if err != nil {
-		owner.Close()
+		h.close()
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	return h, nil
 }
 
+// close gives up what this process holds: as its end does.
+func (h *handover) close() {
+	h.owner.Close()
+	if h.second != nil {
+		h.second.Close()
+	}
+}
+
 // first reports whether no older process of this agent is there, and from then on is the older one.
 func (h *handover) first() bool {
-	return syscall.Flock(int(h.owner.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil
+	if syscall.Flock(int(h.owner.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil {
+		return false
+	}
+	if h.second != nil {
+		h.second.Close() // another may start beside this one
+		h.second = nil
+	}
+	return true
+}
+
+// lock takes one of the locks that the processes share, while nobody else does for long.
+func (h *handover) lock(name string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(h.dir, name), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(lockWithin); ; time.Sleep(lockEvery) {
+		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return f, nil
+		}
+		if time.Now().After(end) {
+			f.Close()
+			return nil, fmt.Errorf("lock %s: %w", name, err)
+		}
+	}
+}
+
+// deserted reports whether the younger process has ended while this one serves. From then on this one speaks for the agent
+// again, in the record too.
+func (h *handover) deserted() bool {
+	f, err := os.OpenFile(filepath.Join(h.dir, "second"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil {
+		return false
+	}
+	err = h.change(func(r *record) {
+		r.Turn++
+		h.turn = r.Turn
+	})
+	if err != nil {
+		h.log.Warn("the record can't be taken back", "error", err)
+	}
+	return err == nil
 }
 
 // followed reports whether a younger process has started.
@@ -103,20 +163,11 @@
 func (h *handover) change(by func(*record)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	lock, err := os.OpenFile(filepath.Join(h.dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	lock, err := h.lock("lock")
 	if err != nil {
 		return err
 	}
 	defer lock.Close() // and with it unlock
-	for end := time.Now().Add(lockWithin); ; time.Sleep(lockEvery) {
-		err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-		if err == nil {
-			break
-		}
-		if time.Now().After(end) {
-			return fmt.Errorf("lock: %w", err)
-		}
-	}
 	r := h.read()
 	by(&r)
 	r.Format = recordFormat
@@ -380,6 +431,10 @@
 			a.allow(a.cfg.halved())
 			debug.FreeOSMemory()
 			a.log.Info("a successor has started")
+		case followed && a.handover.deserted():
+			followed = false
+			a.allow(a.cfg)
+			a.log.Warn("the successor has ended before it took the clients")
 		}
 	}
 }
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -163,7 +163,7 @@
 	if got := told(younger); got != "true" {
 		t.Errorf("the younger hears %q", got)
 	}
-	older.owner.Close() // as its end does
+	older.close() // as its end does
 	if !older.followed() || !younger.first() || younger.followed() {
 		t.Error("the younger does not know that it is alone")
 	}
@@ -338,3 +338,67 @@
 		t.Errorf("%+v", resp)
 	}
 }
+
+// A successor that ends before it has taken the clients leaves the older process as it was: with the whole limits, and the one
+// that the record is by; and another may start.
+func TestSuccessorThatEnds(t *testing.T) {
+	dir := t.TempDir()
+	begin := func() *handover {
+		h, err := newHandover(dir, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return h
+	}
+	older := begin()
+	defer older.close()
+	for round := range 3 {
+		younger := begin()
+		if _, _ = older.look(newClock()); !older.followed() || older.deserted() {
+			t.Fatalf("round %d: the younger one is not seen", round)
+		}
+		younger.close() // killed
+		if !older.deserted() || older.followed() {
+			t.Fatalf("round %d: its end is not seen", round)
+		}
+		older.save(brookferry.Legacy{Tokens: float64(round + 1)})
+		if l := older.read().Legacy; l == nil || l.Tokens != float64(round+1) {
+			t.Fatalf("round %d: the older one no longer records: %+v", round, l)
+		}
+	}
+	younger := begin()
+	older.close()
+	if !younger.first() || younger.second != nil {
+		t.Error("the younger one is not the first now")
+	}
+	third := begin()
+	defer third.close()
+	if _, _ = younger.look(newClock()); !younger.followed() || younger.deserted() {
+		t.Error("a third process is not seen")
+	}
+	younger.close()
+}
+
+// The same with processes that serve: the older one's share of the limits comes back.
+func TestOlderProcessGoesOnAlone(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	ln, dir := listen(t), t.TempDir()
+	older := start(t, upgradable(t, ln, dir, setup{servers: []member{s.member("s")}}))
+	waitFor(t, "clients to be taken", older.front.taking.Load)
+	most := func() int {
+		older.backends.mu.Lock()
+		defer older.backends.mu.Unlock()
+		return older.backends.most
+	}
+	whole := most()
+	younger, err := newHandover(dir, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the older one to keep to half", func() bool { return most() < whole })
+	younger.close()
+	waitFor(t, "the older one to use all", func() bool { return most() == whole })
+	if x := older.do("GET", "/get/x", ""); x.status != 200 {
+		t.Errorf("%+v", x)
+	}
+}
