--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -270,6 +270,7 @@
 func poolFor(t *testing.T, addr string) *backends {
 	t.Helper()
 	b := newBackends(testConfig(t, setup{}), quiet)
+	t.Cleanup(b.close)
 	b.settle = 0 // what comes on a connection that rests is another test's
 	b.update(discovery.Update{List: brookferry.List{Kind: brookferry.ListFull, Backends: []brookferry.Backend{{ID: "s"}}},
 		Addrs: map[string]string{"s": addr}})
--- /dev/null
+++ b/internal/agent/main_test.go
@@ -0,0 +1,10 @@
+package agent
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// No task outlives the tests: each ends with its connection, its request or its agent.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
