--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -498,7 +498,7 @@
 	w.WriteHeader(http.StatusOK)
 	buf, free := f.loop.backends.buffers.get()
 	defer free()
-	var waited time.Duration // for the backend
+	waited, passed := time.Duration(0), int64(0) // for the backend, and from it
 	for part, last := a.body, error(nil); ; {
 		err := rc.SetWriteDeadline(time.Now().Add(streamStall))
 		if err == nil {
@@ -514,7 +514,7 @@
 			s.end(nil)
 			return
 		}
-		if s.passed.Add(int64(len(part))) > largest || s.slow(waited) {
+		if passed += int64(len(part)); passed > largest || slow(waited, passed) {
 			s.end(errStalled)
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -305,7 +305,6 @@
 			return
 		}
 		l.counts.served++
-		e.answer.rest.due(e.deadline)
 		l.finish(e.request, reply{served: e.answer})
 		l.pending = append(l.pending, brookferry.StreamStarted{Request: e.id, Attempt: e.attempt})
 	case ended:
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -21,6 +21,7 @@
 	streamStall = 10 * time.Second        // without a byte of a stream, before it is given up
 	clientStall = 1500 * time.Millisecond // without a byte of a client's body: nobody may send it slower than leastPace
 	leastPace   = 48 << 10                // bytes a second; clients send 64 kB
+	leastGiven  = 1 << 10                 // bytes a second of an answer, far below what any backend sends
 )
 
 var (
@@ -219,8 +220,6 @@
 	in     io.Reader
 	cancel context.CancelCauseFunc // of the attempt
 	free   func()                  // gives back the buffer
-	passed atomic.Int64            // bytes to the client
-	bound  *time.Timer             // of an answer that is not large after all
 	once   sync.Once
 	ended  chan struct{}
 	err    error // the backend broke it off, or errEnded: nobody wants the rest; may be read once ended is closed
@@ -228,30 +227,16 @@
 
 func (s *stream) end(err error) {
 	s.once.Do(func() {
-		if s.bound != nil {
-			s.bound.Stop()
-		}
 		s.err = err
 		close(s.ended)
 	})
 }
 
-// due has the answer broken off at the client's deadline where no more has come of it by then than is held whole
-// otherwise: the time of such an answer is that of its last byte, and one that never ends would be no answer at all.
-func (s *stream) due(at time.Time) {
-	if s.length >= 0 { // it is known to be large
-		return
-	}
-	s.bound = time.AfterFunc(time.Until(at), func() {
-		if s.passed.Load() <= maxBody {
-			s.cancel(errStalled)
-		}
-	})
-}
-
-// slow reports whether a backend sends its answer slower than any would, after it was waited for so long.
-func (s *stream) slow(waited time.Duration) bool {
-	return waited > streamStall+time.Duration(s.passed.Load())*time.Second/leastPace
+// slow reports whether a backend sends its answer slower than any would, after it was waited for so long, with so many bytes:
+// one that drips for good never ends. The client's deadline is no bound: of a long answer its first bytes are timed, and what
+// its backend still gives must not be cut off.
+func slow(waited time.Duration, passed int64) bool {
+	return waited > streamStall+time.Duration(passed)*time.Second/leastGiven
 }
 
 // chunk is one read of an answer of unknown length.
