Frame what an agent and its hub write to each other, and say how hubs work

Need: in the flat fleet a start costs each member bytes in step with the fleet. The form of hubs is written first, with the frames of the one stream (bounded, versioned, fuzzed) and facts that are as old as the oldest of what they sum up.

--- a/internal/fleet/fact/fact_test.go
+++ b/internal/fleet/fact/fact_test.go
@@ -36,7 +36,7 @@
 				stores[i] = New(fmt.Sprint("p", i), 1, short, func(u Use) {
 					mu.Lock()
 					defer mu.Unlock()
-					if u.Observer == fmt.Sprint("p", i) && u.Now == 0 {
+					if u.Told {
 						if _, old := born[name(u.Fact)]; !old {
 							born[name(u.Fact)] = time.Now()
 						}
--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -26,9 +26,11 @@
 	Distance                  // round trips from a site to the others
 	Residency                 // the version of the residency policy that its source holds
 	Gone                      // processes whose machine refuses connections: dead for certain
+	Settings                  // the version of the agents' settings that a hub holds
+	Census                    // how many agents a hub, or all hubs, know of: there, starting, dead for certain
 )
 
-var kindNames = map[Kind]string{Service: "service", Distance: "distance", Residency: "residency", Gone: "gone"}
+var kindNames = map[Kind]string{Service: "service", Distance: "distance", Residency: "residency", Gone: "gone", Settings: "settings", Census: "census"}
 
 func (k Kind) String() string {
 	return cmp.Or(kindNames[k], "kind "+strconv.Itoa(int(k)))
@@ -47,6 +49,10 @@
 	Residency: 10 * time.Second,
 	// Told each second while it holds. Whoever starts again may have its part back that much later.
 	Gone: 3 * time.Second,
+	// Told each second. A version never goes back, so an old word does no harm; it only says less.
+	Settings: 10 * time.Second,
+	// Told each second. It carries how many are gone, and so has the bound of that.
+	Census: 3 * time.Second,
 }
 
 const (
@@ -73,7 +79,8 @@
 // Use is one use of a fact, as told to a trace.
 type Use struct {
 	Fact
-	Now time.Duration // its age then
+	Told bool          // by this process, rather than used
+	Now  time.Duration // its age then
 }
 
 // Store holds facts. Its methods may be called from any task.
@@ -154,7 +161,7 @@
 	s.seqs[k]++
 	f := Fact{Kind: kind, Subject: subject, Observer: s.self, Incarnation: s.incarnation, Seq: s.seqs[k], Body: slices.Clone(body)}
 	s.facts[k] = &held{Fact: f, at: now}
-	s.trace(Use{Fact: f})
+	s.trace(Use{Fact: f, Told: true})
 }
 
 // Hear takes a message that came now. What is in it of this process's own name is its own echo, or another process's
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -335,7 +335,7 @@
 		return
 	}
 	what := "use"
-	if u.Observer == f.cfg.Name && u.Now == 0 {
+	if u.Told {
 		what = "tell"
 	}
 	f.trace(map[string]any{"what": what, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
--- /dev/null
+++ b/internal/fleet/hub/frame/frame_test.go
@@ -0,0 +1,67 @@
+package frame
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Fields of a later program are skipped, and what is out of bounds ends the stream.
+func TestBounds(t *testing.T) {
+	type later struct {
+		Frame
+		More map[string]int `cbor:"99,keyasint"`
+	}
+	data, err := cbor.Marshal(later{Frame{Version: 7, Hello: &Hello{Name: "n"}}, map[string]int{"a": 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err := decode(data); err != nil || f.Version != 7 || f.Hello.Name != "n" {
+		t.Errorf("%+v %v", f, err)
+	}
+	for name, f := range map[string]Frame{"no name": {Hello: &Hello{}}, "a long name": {Hello: &Hello{Name: strings.Repeat("n", maxName+1)}},
+		"a long why": {State: &State{Policy: Standing{Why: strings.Repeat("w", maxWhy+1)}}}, "a negative wait": {Busy: &Busy{After: -1}},
+		"a negative version": {State: &State{Settings: Standing{Version: -1}}}} {
+		data, err := Encode(&f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(bytes.NewReader(data)); err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	if _, err := Encode(&Frame{Facts: make([]byte, maxFrame)}); err == nil {
+		t.Error("a frame is written that nobody reads")
+	}
+	if _, err := Read(bytes.NewReader([]byte{0xff, 0, 0, 0})); err == nil {
+		t.Error("a frame of gigabytes is waited for")
+	}
+}
+
+// Nothing that comes off the wire harms: it is an error, or a frame that writes as it was read.
+func FuzzRead(f *testing.F) {
+	for _, x := range []Frame{{Hello: &Hello{Label: "l", Name: "n", Site: "z"}}, {State: &State{Seq: 3, Settings: Standing{2, "d", "w"}}},
+		{Facts: []byte{1, 2}, Echo: &Echo{Seq: 1, Dwell: 5}, Sure: true}, {Busy: &Busy{After: 1}}, {Bye: true}} {
+		data, err := Encode(&x)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0, 0, 0, 2, 0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		x, err := Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		again, err := Encode(x)
+		if err != nil {
+			t.Skip("longer than it came: its integers were not in the shortest form")
+		}
+		if _, err := Read(bytes.NewReader(again)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
