Share one view of the members until it changes, instead of sorting them for each caller

Every tick, turn, probe and summary had the member list copied and sorted under the lock, some fifteen times a second and again for each change, at a cost that grew with the fleet whether or not anything had happened.

The list keeps the members in order as they come and go; a view is made when it is asked for after a change and shared by all until the next. Callers get copies of members only, so nobody can write to what is shared. Who starts, who is of a site, whom to probe and which of the dead are whose to see to follow from the view, and are found out once for each.

--- a/internal/fleet/distance/distance_test.go
+++ b/internal/fleet/distance/distance_test.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	way     func(from, to string) (time.Duration, bool) // one way, and whether it arrives
 	members []member.Member
+	who     *member.View
 	probers map[netip.AddrPort]*Prober
 	stores  []*fact.Store
 	bytes   map[string]int // by member
@@ -38,10 +39,11 @@
 				Meta: member.Meta{Site: site}})
 		}
 	}
-	alive := func() []member.Member { return f.members }
+	f.who = member.NewView(f.members...)
+	view := func() *member.View { return f.who }
 	for _, m := range f.members {
 		store := fact.New(m.Name, 1, fact.DefaultBounds, nil)
-		p := New(Config{Self: m.Name, Site: m.Site, Label: "x", Alive: alive, Facts: store, Write: f.writer(m)})
+		p := New(Config{Self: m.Name, Site: m.Site, Label: "x", View: view, Facts: store, Write: f.writer(m)})
 		f.probers[m.Addr], f.stores = p, append(f.stores, store)
 		f.tasks.Go(func() {
 			for ctx.Err() == nil {
@@ -104,7 +106,7 @@
 }
 
 // seen is what a member makes of the matrix now.
-func (f *field) seen(i int) Matrix { return Make(f.stores[i].Now(fact.Distance), f.members) }
+func (f *field) seen(i int) Matrix { return Make(f.stores[i].Now(fact.Distance), f.who) }
 
 func even(from, to string) (time.Duration, bool) {
 	if from == to {
@@ -204,7 +206,7 @@
 
 // A row counts from an observer of its own site alone, one word for a pair, and what makes no sense is no row.
 func TestRowsAreHeldAgainstMembers(t *testing.T) {
-	alive := []member.Member{{Name: "a0", Meta: member.Meta{Site: "a"}}, {Name: "b0", Meta: member.Meta{Site: "b"}}}
+	alive := member.NewView(member.Member{Name: "a0", Meta: member.Meta{Site: "a"}}, member.Member{Name: "b0", Meta: member.Meta{Site: "b"}})
 	body := func(r row) []byte { data, _ := cbor.Marshal(r); return data }
 	one := entry{Site: "b", Micros: 1000, Count: 3}
 	for name, c := range map[string]struct {
@@ -232,7 +234,7 @@
 func FuzzDatagram(f *testing.F) {
 	f.Add(datagram{what: ask, label: 1, nonce: 2, dwell: 3}.encode(member.ProbeByte))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		p := New(Config{Alive: func() []member.Member { return nil }, Write: func([]byte, netip.AddrPort) (time.Time, error) { return time.Now(), nil }})
+		p := New(Config{View: func() *member.View { return member.NewView() }, Write: func([]byte, netip.AddrPort) (time.Time, error) { return time.Now(), nil }})
 		if len(data) > 0 {
 			p.Heard(data, netip.AddrPort{}, time.Now())
 		}
--- a/internal/fleet/distance/matrix.go
+++ b/internal/fleet/distance/matrix.go
@@ -38,11 +38,7 @@
 
 // Make makes a matrix of rows. Each observer has one word on a pair, and the third lowest of their words counts. A row counts only from an observer of that site; whose site is
 // not known here says nothing.
-func Make(rows []fact.Fact, alive []member.Member) Matrix {
-	site := map[string]string{}
-	for _, m := range alive {
-		site[m.Name] = m.Site
-	}
+func Make(rows []fact.Fact, who *member.View) Matrix {
 	type word struct {
 		entry
 		age time.Duration
@@ -50,7 +46,7 @@
 	words := map[Pair][]word{}
 	for _, f := range rows {
 		r, err := decodeRow(f.Body)
-		if err != nil || f.Subject == "" || site[f.Observer] != f.Subject {
+		if m, there := who.Named(f.Observer); err != nil || f.Subject == "" || !there || m.Site != f.Subject {
 			continue
 		}
 		seen := map[string]bool{}
--- a/internal/fleet/distance/prober.go
+++ b/internal/fleet/distance/prober.go
@@ -6,6 +6,7 @@
 package distance
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -35,7 +36,7 @@
 // Config is what a Prober needs.
 type Config struct {
 	Self, Site, Label string
-	Alive             func() []member.Member
+	View              func() *member.View
 	Write             func(data []byte, to netip.AddrPort) (time.Time, error)
 	Facts             *fact.Store
 }
@@ -50,6 +51,10 @@
 	samples map[string][]sample // by site, oldest first
 	bad     int                 // datagrams that made no sense
 	sent    int
+
+	of    *member.View // what the plan follows from; of Run alone, as the plan is
+	sites []member.Members
+	gap   time.Duration
 }
 
 type asked struct {
@@ -121,55 +126,45 @@
 	}
 }
 
-// plan says whom of which site to ask, and how long to wait between two asks. Who does not observe waits.
-func (p *Prober) plan() (sites [][]member.Member, gap time.Duration) {
-	bySite := map[string][]member.Member{}
-	var names []string
-	alive := p.cfg.Alive()
-	for _, m := range alive {
-		if m.Site == "" {
-			continue
-		}
-		if bySite[m.Site] == nil {
-			names = append(names, m.Site)
-		}
-		bySite[m.Site] = append(bySite[m.Site], m)
+// plan says whom of which site to ask, and how long to wait between two asks. Who does not observe waits. It is made anew
+// where who is there has changed.
+func (p *Prober) plan() ([]member.Members, time.Duration) {
+	who := p.cfg.View()
+	if who == p.of {
+		return p.sites, p.gap
 	}
-	mine := Observers(p.cfg.Site, alive)
+	p.of, p.sites, p.gap = who, nil, time.Second
+	mine := Observers(p.cfg.Site, who)
 	if !slices.Contains(mine, p.cfg.Self) {
-		return nil, time.Second
+		return p.sites, p.gap
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		others := slices.DeleteFunc(bySite[name], func(m member.Member) bool { return m.Name == p.cfg.Self })
-		if len(others) > 0 {
-			sites = append(sites, others)
+	for site, members := range who.Sites() {
+		if site == p.cfg.Site {
+			members = members.Without(p.cfg.Self)
+		}
+		if site != "" && members.Len() > 0 {
+			p.sites = append(p.sites, members)
 		}
 	}
 	// Either side of a pair asks at half its rate, its observers in turn.
-	each := pairRate / 2 / float64(len(mine)) * float64(max(1, len(sites)))
-	return sites, time.Duration(float64(time.Second) / each)
+	each := pairRate / 2 / float64(len(mine)) * float64(max(1, len(p.sites)))
+	p.gap = time.Duration(float64(time.Second) / each)
+	return p.sites, p.gap
 }
 
-// Observers are the members of a site that measure, of those that are alive.
-func Observers(site string, alive []member.Member) (names []string) {
-	for _, m := range alive {
-		if m.Site == site {
-			names = append(names, m.Name)
-		}
+// Observers are the members of a site that measure, of those that are there.
+func Observers(site string, who *member.View) (names []string) {
+	for m := range who.Of(site).All() {
+		names = append(names, m.Name)
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		x, y := member.Score(site, a), member.Score(site, b)
-		if x < y {
-			return -1
-		}
-		return 1
+		return cmp.Compare(member.Score(site, a), member.Score(site, b))
 	})
 	return names[:min(len(names), observers)]
 }
 
-func (p *Prober) ask(others []member.Member) {
-	m := others[rand.IntN(len(others))]
+func (p *Prober) ask(others member.Members) {
+	m := others.At(rand.IntN(others.Len()))
 	d := datagram{what: ask, label: p.label, nonce: rand.Uint64()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.prober = distance.New(distance.Config{Self: cfg.Name, Site: cfg.Site, Label: cfg.Label, Alive: f.list.Alive, Write: f.list.Write, Facts: f.facts})
+	f.prober = distance.New(distance.Config{Self: cfg.Name, Site: cfg.Site, Label: cfg.Label, View: f.list.View, Write: f.list.Write, Facts: f.facts})
 	f.pacer = start.New(start.Config{Rate: cfg.ListRate, Met: func() bool { return f.list.Met() > 0 }, Facts: f.facts})
 	return f, nil
 }
@@ -159,19 +159,12 @@
 	f.mu.Unlock()
 	if !was {
 		f.list.Reached(member.Serving)
-		f.cfg.Log.Info("start", "step", "serving", "members", len(f.list.Alive()), "took", time.Since(f.born))
+		f.cfg.Log.Info("start", "step", "serving", "members", f.list.View().Len(), "took", time.Since(f.born))
 	}
 }
 
 // starters counts who is seen to start, this process included.
-func (f *Fleet) starters() (n int) {
-	for _, m := range f.list.Alive() {
-		if m.Phase == member.Starting {
-			n++
-		}
-	}
-	return max(1, n)
-}
+func (f *Fleet) starters() int { return max(1, f.list.View().Starting()) }
 
 const summaryEvery = 10 * time.Second
 
@@ -200,7 +193,7 @@
 
 // measure tells the agent how far the sites are, where that has changed.
 func (f *Fleet) measure() {
-	m := distance.Make(f.facts.Now(fact.Distance), f.list.Alive())
+	m := distance.Make(f.facts.Now(fact.Distance), f.list.View())
 	trips, losses := make([]time.Duration, len(f.zones)), make([]float64, len(f.zones))
 	for i, zone := range f.zones {
 		if e, known := m.Of(f.cfg.Site, zone); known {
@@ -242,10 +235,7 @@
 // have, except those that are dead for certain: of these the others use it while a word no older than its bound says so.
 // Who is merely not heard keeps its part: it may be alive beyond a cut. So the sum of all parts stays within the limit.
 func (f *Fleet) reckon() {
-	alive := map[string]bool{}
-	for _, m := range f.list.Alive() {
-		alive[m.Name] = true
-	}
+	view := f.list.View()
 	gone, me := map[string]bool{}, false
 	for _, g := range f.facts.Now(fact.Gone) {
 		var names []string
@@ -255,7 +245,7 @@
 		for _, name := range names {
 			if name == f.cfg.Name {
 				me = true
-			} else if !alive[name] {
+			} else if _, alive := view.Named(name); !alive {
 				gone[name] = true
 			}
 		}
@@ -268,7 +258,7 @@
 	sure := now.Sub(f.born) >= f.cfg.Bounds[fact.Gone] || !f.met.IsZero() && now.Sub(f.met) >= metFor && !me
 	part := thin / float64(f.cfg.Most)
 	if sure {
-		part = 1 / float64(max(1, len(alive), f.cfg.Most-len(gone)))
+		part = 1 / float64(max(1, view.Len(), f.cfg.Most-len(gone)))
 	}
 	same := part == f.part
 	f.part = part
@@ -320,7 +310,7 @@
 	f.mu.Lock()
 	part := f.part
 	f.mu.Unlock()
-	args := []any{"members", len(f.list.Alive()), "part", part, "facts", st.Held, "malformed", st.Malformed, "stops", st.Stops, "bytes", f.gossip.Swap(0)}
+	args := []any{"members", f.list.View().Len(), "part", part, "facts", st.Held, "malformed", st.Malformed, "stops", st.Stops, "bytes", f.gossip.Swap(0)}
 	for kind, k := range st.Kinds {
 		if k.Used > 0 || k.Refused > 0 {
 			args = append(args, kind, k.String())
@@ -357,13 +347,3 @@
 	defer traces.Unlock()
 	_, _ = f.cfg.Trace.Write(append(data, '\n'))
 }
-
-// named is the member of a name, if it is there.
-func (f *Fleet) named(name string) []member.Member {
-	for _, m := range f.list.Alive() {
-		if m.Name == name {
-			return []member.Member{m}
-		}
-	}
-	return nil
-}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -96,7 +96,7 @@
 	}
 	waitFor(t, "the fleet", func() bool {
 		for _, o := range list {
-			if len(o.list.Alive()) != n {
+			if o.list.View().Len() != n {
 				return false
 			}
 		}
@@ -147,7 +147,7 @@
 	b := begin(t, Config{Name: "y", Site: "a", Most: 5, Label: "two"}, a)
 	for _, o := range []*one{a, b} {
 		waitFor(t, "an even part", func() bool { return o.part() == 0.2 })
-		if len(o.list.Alive()) != 1 {
+		if o.list.View().Len() != 1 {
 			t.Error("two labels have met")
 		}
 	}
@@ -304,7 +304,7 @@
 	}
 	list[1].end()
 	<-list[1].ended
-	waitFor(t, "the younger process", func() bool { return len(next.list.Alive()) == 2 && len(list[0].list.Alive()) == 2 })
+	waitFor(t, "the younger process", func() bool { return next.list.View().Len() == 2 && list[0].list.View().Len() == 2 })
 }
 
 // What comes to the fleet's address and makes no sense harms nothing.
@@ -327,7 +327,7 @@
 	}
 	list[0].facts.Tell(fact.Service, "x", nil)
 	waitFor(t, "a fact at the other", func() bool { return len(list[1].facts.Now(fact.Service)) > 0 })
-	if len(list[1].list.Alive()) != 2 || list[0].list.Alive()[0].Phase != member.Starting {
+	if list[1].list.View().Len() != 2 || list[0].list.View().At(0).Phase != member.Starting {
 		t.Error("a member is lost")
 	}
 }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -78,8 +79,11 @@
 	list *memberlist.Memberlist
 
 	mu        sync.Mutex
-	members   map[string]Member
+	order     []*Member         // who is there, this one always, by name; what they point to never changes
+	view      *View             // of them; nil: they have changed since it was asked for
 	dead      map[string]Member // failed without a goodbye, by name
+	doomed    []Member          // of the dead: this one sees to them
+	doomedOf  *View             // when it was found out
 	met       int               // others ever met
 	phase     Phase
 	conflict  bool // another process has this one's name, and this one leaves
@@ -94,7 +98,8 @@
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
 	t.probe, t.call = cfg.Probe, cfg.Call
-	return &List{cfg: cfg, t: t, members: map[string]Member{}, dead: map[string]Member{}, phase: cfg.Meta.Phase, leave: make(chan struct{})}, nil
+	return &List{cfg: cfg, t: t, order: []*Member{{Name: cfg.Name, Addr: t.advertise, Meta: cfg.Meta}}, dead: map[string]Member{}, phase: cfg.Meta.Phase,
+		leave: make(chan struct{})}, nil
 }
 
 // Addr is where others reach this member.
@@ -170,45 +175,51 @@
 func (l *List) missing() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	there := map[string]bool{l.t.advertise.String(): true}
-	for _, m := range l.members {
-		there[m.Addr.String()] = true
-	}
-	var list []string
+	wanted := map[string]bool{}
 	for _, s := range l.cfg.Seeds {
-		if !there[s] {
-			list = append(list, s)
-		}
+		wanted[s] = true
 	}
 	for _, m := range l.dead {
-		if addr := m.Addr.String(); !there[addr] && !slices.Contains(list, addr) {
-			list = append(list, addr)
+		wanted[m.Addr.String()] = true
+	}
+	delete(wanted, l.t.advertise.String())
+	if len(wanted) > 0 {
+		for _, m := range l.order {
+			delete(wanted, m.Addr.String())
 		}
 	}
-	slices.Sort(list)
+	list := slices.Collect(maps.Keys(wanted))
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(len(list), 3)]
 }
 
-// Alive are the members that are there, this one included, by name.
-func (l *List) Alive() []Member {
+// View is who is there, this member included. It is made when it is asked for after a change: however many come at once,
+// none of them costs a view of its own.
+func (l *List) View() *View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := make([]Member, 0, len(l.members)+1)
-	for _, m := range l.members {
-		list = append(list, m)
-	}
-	if _, self := l.members[l.cfg.Name]; !self {
-		list = append(list, l.selfLocked())
+	return l.viewLocked()
+}
+
+func (l *List) viewLocked() *View {
+	if l.view == nil {
+		l.view = viewOf(slices.Clone(l.order))
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return list
+	return l.view
 }
 
-func (l *List) selfLocked() Member {
-	m := Member{Name: l.cfg.Name, Addr: l.t.advertise, Meta: l.cfg.Meta}
-	m.Phase = l.phase
-	return m
+// putLocked has a member be there as it is said to be now. It must not change after.
+func (l *List) putLocked(m *Member) {
+	if m.Name == l.cfg.Name {
+		m.Phase = l.phase // what memberlist has of it may be older
+	}
+	if i, there := find(l.order, m.Name); there {
+		l.order[i] = m
+	} else {
+		l.order = slices.Insert(l.order, i, m)
+	}
+	delete(l.dead, m.Name)
+	l.view = nil
 }
 
 // Met is how many others this process has ever met.
@@ -223,6 +234,10 @@
 	l.mu.Lock()
 	list, same := l.list, l.phase == p
 	l.phase = p
+	if i, there := find(l.order, l.cfg.Name); there && !same {
+		self := *l.order[i]
+		l.putLocked(&self)
+	}
 	l.mu.Unlock()
 	if list != nil && !same {
 		go func() { _ = list.UpdateNode(2 * time.Second) }() // others learn with the next exchange if it fails
@@ -231,23 +246,27 @@
 
 // Doomed are the members that failed without a goodbye and of which this one is among the few that see to whether
 // they are dead: chosen by rendezvous, the same at every member.
-func (l *List) Doomed(few int) (list []Member) {
-	alive := l.Alive()
+func (l *List) Doomed(few int) []Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	v := l.viewLocked()
+	if l.doomedOf == v { // nobody fails or comes back without another view
+		return slices.Clone(l.doomed)
+	}
+	l.doomed, l.doomedOf = nil, v
 	for _, m := range l.dead {
-		if rank(m.Name, l.cfg.Name, alive) < few {
-			list = append(list, m)
+		if rank(m.Name, l.cfg.Name, v) < few {
+			l.doomed = append(l.doomed, m)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return list
+	slices.SortFunc(l.doomed, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.Clone(l.doomed)
 }
 
 // rank is the place of a member in the order in which members serve a subject.
-func rank(subject, name string, alive []Member) (n int) {
+func rank(subject, name string, v *View) (n int) {
 	mine := Score(subject, name)
-	for _, m := range alive {
+	for m := range v.All() {
 		if m.Name != name && Score(subject, m.Name) < mine {
 			n++
 		}
@@ -278,7 +297,8 @@
 func (d *delegate) NodeMeta(limit int) []byte {
 	l := (*List)(d)
 	l.mu.Lock()
-	meta := l.selfLocked().Meta
+	meta := l.cfg.Meta
+	meta.Phase = l.phase
 	l.mu.Unlock()
 	data, err := cbor.Marshal(meta)
 	if err != nil || len(data) > limit {
@@ -292,7 +312,7 @@
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
 	l := (*List)(d)
 	l.mu.Lock()
-	n := len(l.members)
+	n := len(l.order)
 	l.mu.Unlock()
 	if n < 2 {
 		return nil // nobody would hear it
@@ -331,8 +351,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.members[m.Name] = m
-	delete(l.dead, m.Name)
+	l.putLocked(&m)
 	if m.Name != l.cfg.Name {
 		l.met++
 	}
@@ -347,10 +366,10 @@
 		return
 	}
 	l.mu.Lock()
-	if old, known := l.members[m.Name]; known && old.Started == m.Started {
-		m.Since = old.Since
+	if i, known := find(l.order, m.Name); known && l.order[i].Started == m.Started {
+		m.Since = l.order[i].Since
 	}
-	l.members[m.Name] = m
+	l.putLocked(&m)
 	l.mu.Unlock()
 	l.cfg.Turn()
 }
@@ -358,10 +377,12 @@
 func (d *delegate) NotifyLeave(n *memberlist.Node) {
 	l := (*List)(d)
 	l.mu.Lock()
-	m, known := l.members[n.Name]
-	delete(l.members, n.Name)
-	if known && n.State != memberlist.StateLeft {
-		l.dead[n.Name] = m
+	if i, known := find(l.order, n.Name); known && n.Name != l.cfg.Name {
+		if n.State != memberlist.StateLeft {
+			l.dead[n.Name] = *l.order[i]
+		}
+		l.order = slices.Delete(l.order, i, i+1)
+		l.view = nil
 	}
 	l.mu.Unlock()
 	l.cfg.Turn()
--- /dev/null
+++ b/internal/fleet/member/view.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// Members is a list of members that nobody can change: who shares one reads copies.
+type Members struct{ list []*Member }
+
+func (m Members) Len() int        { return len(m.list) }
+func (m Members) At(i int) Member { return *m.list[i] }
+
+func (m Members) All() iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, x := range m.list {
+			if !yield(*x) {
+				return
+			}
+		}
+	}
+}
+
+// Without are all but the one of a name.
+func (m Members) Without(name string) Members {
+	return Members{slices.DeleteFunc(slices.Clone(m.list), func(x *Member) bool { return x.Name == name })}
+}
+
+// View is who was there at one time, by name, this member included. All who ask share it until somebody comes, goes or
+// changes: what follows from it holds as long as the next that is handed out is the same.
+type View struct {
+	Members
+	sites    []string
+	bySite   map[string]Members
+	starting int
+}
+
+// NewView makes a view of members of different names.
+func NewView(list ...Member) *View {
+	var order []*Member
+	for i := range list {
+		order = append(order, &list[i])
+	}
+	slices.SortFunc(order, byName)
+	return viewOf(order)
+}
+
+// viewOf keeps the list, which is in order.
+func viewOf(order []*Member) *View {
+	v, bySite := &View{Members: Members{order}}, map[string][]*Member{}
+	for _, m := range order {
+		bySite[m.Site] = append(bySite[m.Site], m)
+		if m.Phase == Starting {
+			v.starting++
+		}
+	}
+	v.bySite = make(map[string]Members, len(bySite))
+	for site, list := range bySite {
+		v.sites, v.bySite[site] = append(v.sites, site), Members{list}
+	}
+	slices.Sort(v.sites)
+	return v
+}
+
+// Named is the member of a name, if it is there.
+func (v *View) Named(name string) (Member, bool) {
+	if i, there := find(v.list, name); there {
+		return *v.list[i], true
+	}
+	return Member{}, false
+}
+
+// Sites are the members of each site, by its name. "" is one, too.
+func (v *View) Sites() iter.Seq2[string, Members] {
+	return func(yield func(string, Members) bool) {
+		for _, site := range v.sites {
+			if !yield(site, v.bySite[site]) {
+				return
+			}
+		}
+	}
+}
+
+// Of are the members of a site.
+func (v *View) Of(site string) Members { return v.bySite[site] }
+
+// Starting counts those that have no list yet.
+func (v *View) Starting() int { return v.starting }
+
+func byName(a, b *Member) int { return cmp.Compare(a.Name, b.Name) }
+
+func find(order []*Member, name string) (int, bool) {
+	return slices.BinarySearchFunc(order, name, func(m *Member, name string) int { return cmp.Compare(m.Name, name) })
+}
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -11,12 +11,14 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"brookferry/internal/fleet/fact"
+	"brookferry/internal/fleet/member"
 	"brookferry/internal/residency"
 )
 
 const (
 	policyEvery = 250 * time.Millisecond // a source tells its version, and the others look
 	fetchWithin = 2 * time.Second
+	fetchTries  = 4           // members asked for a text, its source twice
 	fetchAgain  = time.Second // a text that could not be had is asked for again
 )
 
@@ -86,12 +88,20 @@
 func (f *Fleet) fetchPolicy(ctx context.Context, digest string, version int64, source string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
 	defer cancel()
-	tries := 0
-	for _, m := range append(f.named(source), f.list.Alive()...) {
-		if m.Name == f.cfg.Name || tries == 4 {
-			continue
+	view := f.list.View()
+	var ask []member.Member
+	if m, there := view.Named(source); there {
+		ask = append(ask, m)
+	}
+	for m := range view.All() {
+		if len(ask) == fetchTries {
+			break
 		}
-		tries++
+		if m.Name != f.cfg.Name {
+			ask = append(ask, m)
+		}
+	}
+	for _, m := range ask {
 		text, err := f.getPolicy(ctx, m.Addr.String(), digest)
 		if err != nil {
 			f.cfg.Log.Debug("residency: a text could not be had", "member", m.Name, "digest", digest, "error", err)
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -194,12 +195,7 @@
 
 // relays are the members of this site that ask the service for the others, the same at every member that sees the same.
 func (f *Fleet) relays() (list []member.Member) {
-	var site []member.Member
-	for _, m := range f.list.Alive() {
-		if m.Site == f.cfg.Site {
-			site = append(site, m)
-		}
-	}
+	site := slices.Collect(f.list.View().Of(f.cfg.Site).All())
 	subject := "relay " + f.cfg.Site
 	for range relaysOf(len(site)) {
 		best := -1
@@ -244,12 +240,8 @@
 
 // startingRelays counts those who ask the service for their sites: the others wait for them, and not in turn.
 func (f *Fleet) startingRelays() (n int) {
-	bySite := map[string]int{}
-	for _, m := range f.list.Alive() {
-		bySite[m.Site]++
-	}
-	for _, members := range bySite {
-		n += relaysOf(members)
+	for _, members := range f.list.View().Sites() {
+		n += relaysOf(members.Len())
 	}
 	return max(1, n)
 }
