Keep facts by kind and in order, and read each body once

Each look at the facts of one kind walked and sorted all of them, each packet collected and sorted all that were held, three times in 200 ms, each tick walked them again, and every reader decoded every body anew: a process that waits for its turn did so with the word of everyone who had called, twice every 50 ms.

Each kind has a shelf, ordered as facts come; a tick looks at a shelf only when one of its facts may have gone past its bound; a packet is made of what has not been passed on often enough, and no more. What a body says is kept with the fact and shared by the next one of the same observer that says the same, so it goes when the fact goes. How often what a kind says has changed can be asked for. Nothing changes on the wire.

--- a/internal/fleet/distance/matrix.go
+++ b/internal/fleet/distance/matrix.go
@@ -45,7 +45,7 @@
 	}
 	words := map[Pair][]word{}
 	for _, f := range rows {
-		r, err := decodeRow(f.Body)
+		r, err := fact.Read(f, decodeRow)
 		if m, there := who.Named(f.Observer); err != nil || f.Subject == "" || !there || m.Site != f.Subject {
 			continue
 		}
--- a/internal/fleet/fact/fact_test.go
+++ b/internal/fleet/fact/fact_test.go
@@ -148,6 +148,50 @@
 	})
 }
 
+// What a fact says is read once for as long as it is said; only what says something else, or is no longer said, counts as
+// a change, and what nobody asks for does not pile up.
+func TestReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := New("a", 1, short, nil), New("b", 1, short, nil)
+		read, wrong := 0, fmt.Errorf("no")
+		for i, step := range []struct {
+			body          string
+			read, changes int
+		}{{"x", 1, 1}, {"x", 1, 1}, {"y", 2, 2}, {"y", 2, 2}, {"x", 3, 3}} {
+			time.Sleep(TickEvery)
+			a.Tick()
+			b.Tick()
+			a.Tell(Service, "s", []byte(step.body))
+			if err := b.Hear(a.Gossip(1000, 2)); err != nil {
+				t.Fatal(err)
+			}
+			for range 3 {
+				for _, f := range b.Now(Service) {
+					if v, err := Read(f, func(body []byte) (string, error) { read++; return string(body), wrong }); v != step.body || err != wrong {
+						t.Errorf("step %d: %q, %v", i, v, err)
+					}
+				}
+			}
+			if n, until := b.Changes(Service); read != step.read || int(n) != step.changes || !until.After(time.Now()) {
+				t.Errorf("step %d: read %d times, %d changes", i, read, n)
+			}
+		}
+		for range 22 {
+			time.Sleep(TickEvery)
+			b.Tick()
+		}
+		if n, _ := b.Changes(Service); n != 4 || b.Stats().Held != 0 {
+			t.Errorf("past its bound: %d changes, %d held", n, b.Stats().Held)
+		}
+		for range 1000 {
+			a.Tell(Service, "s", nil)
+		}
+		if len(a.due) > 100 {
+			t.Errorf("%d facts wait for somebody to be passed on to", len(a.due))
+		}
+	})
+}
+
 // What is new goes round quickly and then is not repeated for ever; a restarted observer's words replace the older ones.
 func TestSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -6,6 +6,7 @@
 package fact
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"maps"
@@ -68,6 +69,22 @@
 	Fact
 	at    time.Time // when its age was that of Fact
 	sends int
+	gone  bool // a later one has its place, or it went past its bound
+}
+
+// shelf holds the facts of one kind, by subject and observer.
+type shelf struct {
+	list    []*held
+	changes uint64
+	until   time.Time // none goes past its bound before
+}
+
+func (h *held) place(subject, observer string) int {
+	return cmp.Or(cmp.Compare(h.Subject, subject), cmp.Compare(h.Observer, observer))
+}
+
+func (s *shelf) find(subject, observer string) (int, bool) {
+	return slices.BinarySearchFunc(s.list, key{0, subject, observer}, func(h *held, k key) int { return h.place(k.subject, k.observer) })
 }
 
 // Use is one use of a fact, as told to a trace.
@@ -88,7 +105,9 @@
 	ticked  time.Time
 	deaf    time.Time // nothing is heard and nothing said before it
 	mute    bool      // nothing was heard since the last stop
-	facts   map[key]*held
+	facts   map[Kind]*shelf
+	held    int     // on all shelves
+	due     []*held // that may have to be passed on
 	seqs    map[key]uint64
 	transit transit
 	stops   int
@@ -105,7 +124,7 @@
 		trace = func(Use) {}
 	}
 	return &Store{self: self, incarnation: incarnation, bounds: bounds, trace: trace, born: now, ticked: now,
-		facts: map[key]*held{}, seqs: map[key]uint64{}, transit: transit{from: map[string]*offset{}, trips: map[string]time.Duration{}},
+		facts: map[Kind]*shelf{}, seqs: map[key]uint64{}, transit: transit{from: map[string]*offset{}, trips: map[string]time.Duration{}},
 		ages: map[Kind]*hdrhistogram.Histogram{}, refused: map[Kind]int{}}
 }
 
@@ -125,17 +144,80 @@
 	now := time.Now()
 	s.wake(now)
 	s.ticked = now
-	for k, h := range s.facts {
-		if h.age(now) > s.bounds[k.kind] {
-			delete(s.facts, k)
+	for kind, shelf := range s.facts {
+		if now.Before(shelf.until) {
+			continue
 		}
+		before, next := len(shelf.list), now.Add(maxAge)
+		shelf.list = slices.DeleteFunc(shelf.list, func(h *held) bool {
+			h.gone = h.age(now) > s.bounds[kind]
+			if end := h.end(s.bounds); !h.gone && end.Before(next) {
+				next = end
+			}
+			return h.gone
+		})
+		shelf.until = next
+		if n := before - len(shelf.list); n > 0 {
+			s.held -= n
+			shelf.changes++
+		}
+	}
+}
+
+// end is when it goes past its bound.
+func (h *held) end(b Bounds) time.Time { return h.at.Add(b[h.Kind] - h.Age) }
+
+func (s *Store) shelf(kind Kind) *shelf {
+	if s.facts[kind] == nil {
+		s.facts[kind] = &shelf{}
+	}
+	return s.facts[kind]
+}
+
+// put has a fact take the place of an older one, whose meaning it shares if it says the same. The lock is held.
+func (s *Store) put(h *held) {
+	shelf := s.shelf(h.Kind)
+	i, known := shelf.find(h.Subject, h.Observer)
+	if known && bytes.Equal(shelf.list[i].Body, h.Body) {
+		h.sense = shelf.list[i].sense
+	} else {
+		h.sense = &sense{}
+		shelf.changes++
+	}
+	if known {
+		shelf.list[i].gone = true
+		shelf.list[i] = h
+	} else {
+		shelf.list = slices.Insert(shelf.list, i, h)
+		s.held++
+	}
+	if end := h.end(s.bounds); len(shelf.list) == 1 || end.Before(shelf.until) {
+		shelf.until = end
+	}
+	if len(s.due) > 2*s.held+16 { // nobody has been there to pass them on to
+		s.due = slices.DeleteFunc(s.due, func(h *held) bool { return h.gone })
 	}
+	s.due = append(s.due, h)
+}
+
+// Changes counts how often what the facts of a kind say has changed: one was told or heard that says something else, or
+// went past its bound. until is when the next may go past it if Tick is not called before.
+func (s *Store) Changes(kind Kind) (n uint64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake(time.Now())
+	shelf := s.shelf(kind)
+	return shelf.changes, shelf.until
 }
 
 // wake drops everything if the process was stopped up to now, and reports whether it hears. The lock is held.
 func (s *Store) wake(now time.Time) bool {
 	if now.Sub(s.ticked) > stoppedAfter {
-		clear(s.facts)
+		for _, shelf := range s.facts {
+			shelf.list = nil
+			shelf.changes++
+		}
+		s.held, s.due = 0, nil
 		s.stops++
 		s.ticked, s.deaf, s.mute = now, now.Add(deafFor), true
 	}
@@ -153,7 +235,7 @@
 	k := key{kind, subject, s.self}
 	s.seqs[k]++
 	f := Fact{Kind: kind, Subject: subject, Observer: s.self, Incarnation: s.incarnation, Seq: s.seqs[k], Body: slices.Clone(body)}
-	s.facts[k] = &held{Fact: f, at: now}
+	s.put(&held{Fact: f, at: now})
 	s.trace(Use{Fact: f})
 }
 
@@ -182,19 +264,20 @@
 			s.refused[f.Kind]++
 			continue
 		}
-		k := key{f.Kind, f.Subject, f.Observer}
-		old := s.facts[k]
-		if old == nil && len(s.facts) >= mostHeld {
+		shelf := s.shelf(f.Kind)
+		i, known := shelf.find(f.Subject, f.Observer)
+		if !known && s.held >= mostHeld {
 			s.refused[f.Kind]++
 			continue
 		}
-		if old != nil {
+		if known {
 			// The same by another way that looks quicker stays as it is: the younger of two estimates is the one that may be wrong.
+			old := shelf.list[i]
 			if cmp.Or(cmp.Compare(f.Incarnation, old.Incarnation), cmp.Compare(f.Seq, old.Seq)) <= 0 {
 				continue
 			}
 		}
-		s.facts[k] = &held{Fact: f, at: now}
+		s.put(&held{Fact: f, at: now})
 	}
 	return nil
 }
@@ -207,10 +290,7 @@
 	if !s.wake(now) {
 		return nil
 	}
-	for k, h := range s.facts {
-		if k.kind != kind {
-			continue
-		}
+	for _, h := range s.shelf(kind).list {
 		f := h.Fact
 		if f.Age = h.age(now); f.Age > s.bounds[kind] {
 			s.refused[kind]++
@@ -225,9 +305,6 @@
 		s.trace(Use{Fact: h.Fact, Now: f.Age})
 		list = append(list, f)
 	}
-	slices.SortFunc(list, func(a, b Fact) int {
-		return cmp.Or(cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Observer, b.Observer))
-	})
 	return list
 }
 
@@ -241,22 +318,20 @@
 		return nil
 	}
 	times := int(math.Ceil(math.Log10(float64(members) + 1)))
-	var due []*held
-	for k, h := range s.facts {
+	// What has been passed on often enough is not looked at again.
+	s.due = slices.DeleteFunc(s.due, func(h *held) bool {
 		most := sendsFactor * times
-		if k.kind == Distance {
+		if h.Kind == Distance {
 			most = times // it is told anew each second by several: that one is missed does no harm
 		}
-		if h.sends < most && h.age(now) <= s.bounds[k.kind] {
-			due = append(due, h)
-		}
-	}
-	slices.SortFunc(due, func(a, b *held) int {
-		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Observer, b.Observer))
+		return h.gone || h.sends >= most || h.age(now) > s.bounds[h.Kind]
+	})
+	slices.SortFunc(s.due, func(a, b *held) int {
+		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(a.Kind, b.Kind), a.place(b.Subject, b.Observer))
 	})
 	m := Message{Version: Version, Sender: s.self, Incarnation: s.incarnation, Clock: now.Sub(s.born)}
 	size := 40 + len(s.self) // more than what is around the facts takes
-	for _, h := range due {
+	for _, h := range s.due {
 		if size += 48 + len(h.Subject) + len(h.Observer) + len(h.Body); size > limit || len(m.Facts) == maxFacts {
 			break
 		}
@@ -291,7 +366,7 @@
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := Stats{Held: len(s.facts), Stops: s.stops, Malformed: s.bad, Kinds: map[string]KindStats{}}
+	st := Stats{Held: s.held, Stops: s.stops, Malformed: s.bad, Kinds: map[string]KindStats{}}
 	for _, k := range slices.Sorted(maps.Keys(s.bounds)) {
 		ks := KindStats{Refused: s.refused[k]}
 		if h := s.ages[k]; h != nil {
--- a/internal/fleet/fact/wire.go
+++ b/internal/fleet/fact/wire.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,6 +39,26 @@
 	Seq         uint64        `cbor:"5,keyasint"` // counts what the observer said of the subject
 	Age         time.Duration `cbor:"6,keyasint"` // when the message was written
 	Body        []byte        `cbor:"7,keyasint"`
+
+	sense *sense // nil: of a fact that no store holds
+}
+
+// sense is what a body says, as whoever read it first made of it.
+type sense struct {
+	once  sync.Once
+	value any
+	err   error
+}
+
+// Read has a fact's body decoded, once for as long as a store holds it or one that says the same: all who read facts of
+// one kind must use the same decode, and must not write to what it returns.
+func Read[T any](f Fact, decode func(body []byte) (T, error)) (T, error) {
+	if f.sense == nil {
+		return decode(f.Body)
+	}
+	f.sense.once.Do(func() { f.sense.value, f.sense.err = decode(f.Body) })
+	v, _ := f.sense.value.(T)
+	return v, f.sense.err
 }
 
 var (
--- a/internal/fleet/start/pacer.go
+++ b/internal/fleet/start/pacer.go
@@ -49,6 +49,11 @@
 	Version int64   `cbor:"3,keyasint"` // of the list that came
 }
 
+func readLoad(body []byte) (l load, err error) {
+	err = cbor.Unmarshal(body, &l)
+	return l, err
+}
+
 // Pacer says when this process may call.
 type Pacer struct {
 	cfg  Config
@@ -75,8 +80,8 @@
 	}
 	var rates []float64
 	for _, f := range p.cfg.Facts.Now(fact.Service) {
-		var l load
-		if cbor.Unmarshal(f.Body, &l) != nil || !(l.Rate > 0) {
+		l, err := fact.Read(f, readLoad)
+		if err != nil || !(l.Rate > 0) {
 			continue
 		}
 		rates = append(rates, min(max(l.Rate, rateLeast), rateMost))
