Make the matrix only when a row says something else, ends, or members change

It was made anew every second tick. It stands now until a row says something else or goes past its bound, for which a timer is set so that it does not outlast its rows by a tick, or until who is there changes. Where a trace is written, each look at a standing matrix still writes the use of every row with its age then, as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,9 @@
 	trips   []time.Duration
 	losses  []float64
 	matrix  distance.Matrix
+	madeOf  *member.View // the matrix was, and of facts that have changed so often
+	changes uint64
+	made    int
 	ready   bool
 	fetched map[string]time.Time // policies asked for, by digest
 }
@@ -174,7 +177,10 @@
 	defer tick.Stop()
 	summary := time.NewTicker(summaryEvery)
 	defer summary.Stop()
+	past := time.NewTimer(0) // a row may have gone past its bound: no matrix that rests on it stands for another tick
+	defer past.Stop()
 	for n := 0; ; n++ {
+		due := n%2 == 0
 		select {
 		case <-ctx.Done():
 			return
@@ -182,18 +188,38 @@
 			f.summarize()
 		case <-f.turn:
 		case <-tick.C:
+		case <-past.C:
+			due = true
 		}
 		f.facts.Tick()
 		f.reckon()
-		if f.cfg.Matrix && n%2 == 0 {
+		if f.cfg.Matrix && due {
 			f.measure()
+			_, until := f.facts.Changes(fact.Distance)
+			past.Reset(max(time.Millisecond, time.Until(until)))
 		}
 	}
 }
 
-// measure tells the agent how far the sites are, where that has changed.
+// measure tells the agent how far the sites are, where that has changed. The matrix stands until a row says something
+// else or goes past its bound, or who is there changes.
 func (f *Fleet) measure() {
-	m := distance.Make(f.facts.Now(fact.Distance), f.list.View())
+	changes, _ := f.facts.Changes(fact.Distance)
+	view := f.list.View()
+	f.mu.Lock()
+	stands, m := f.madeOf == view && f.changes == changes, f.matrix
+	f.mu.Unlock()
+	var rows []fact.Fact
+	if !stands || f.cfg.Trace != nil { // a matrix that stands is a use of its rows, which a trace has to show
+		rows = f.facts.Now(fact.Distance)
+	}
+	if f.cfg.Trace != nil {
+		defer func() { f.trace(map[string]any{"matrix": matrixLine(m)}) }()
+	}
+	if stands {
+		return
+	}
+	m = distance.Make(rows, view)
 	trips, losses := make([]time.Duration, len(f.zones)), make([]float64, len(f.zones))
 	for i, zone := range f.zones {
 		if e, known := m.Of(f.cfg.Site, zone); known {
@@ -201,13 +227,11 @@
 		}
 	}
 	f.mu.Lock()
-	f.matrix = m
+	f.matrix, f.madeOf, f.changes = m, view, changes
+	f.made++
 	same := slices.Equal(trips, f.trips) && slices.Equal(losses, f.losses)
 	f.trips, f.losses = trips, losses
 	f.mu.Unlock()
-	if f.cfg.Trace != nil {
-		f.trace(map[string]any{"matrix": matrixLine(m)})
-	}
 	if !same && f.told.Distances != nil {
 		f.told.Distances(trips, losses)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -10,8 +10,11 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/member"
 	"brookferry/internal/fleet/source"
@@ -139,6 +142,55 @@
 	}
 }
 
+// A matrix stands until a row says something else or goes past its bound; meanwhile each look at it is a use in the trace,
+// within the bound.
+func TestMatrixStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var trace bytes.Buffer
+		f, err := New(Config{Name: "x", Site: "a", Most: 1, Listen: "127.0.0.1:0", Matrix: true, Trace: &trace, Log: slog.New(slog.DiscardHandler)}, zones, Told{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.list.Abort()
+		row := func(us int) []byte {
+			type entry struct {
+				Site   string `cbor:"1,keyasint"`
+				Micros int    `cbor:"2,keyasint"`
+				Count  int    `cbor:"5,keyasint"`
+			}
+			body, _ := cbor.Marshal(map[int][]entry{1: {{"b", us, 3}}})
+			return body
+		}
+		for i, step := range []struct{ us, made, known int }{{100, 1, 1}, {100, 1, 1}, {200, 2, 1}, {0, 3, 0}} {
+			if step.us > 0 {
+				f.facts.Tell(fact.Distance, "a", row(step.us))
+			}
+			for n := 0; n < 12 || step.us == 0 && n < 40; n++ {
+				time.Sleep(fact.TickEvery)
+				trace.Reset()
+				f.facts.Tick()
+				f.measure()
+				for line := range bytes.Lines(trace.Bytes()) {
+					var use struct{ Age int64 }
+					if json.Unmarshal(line, &use) != nil || time.Duration(use.Age)*time.Microsecond > fact.DefaultBounds[fact.Distance] {
+						t.Errorf("step %d: %s", i, line)
+					}
+				}
+				if uses := bytes.Count(trace.Bytes(), []byte(`"use"`)); uses != len(f.matrix) {
+					t.Errorf("step %d: %d uses of a matrix of %d", i, uses, len(f.matrix))
+				}
+			}
+			if f.made != step.made || len(f.matrix) != step.known {
+				t.Errorf("step %d: made %d times, %d pairs", i, f.made, len(f.matrix))
+			}
+		}
+		f.cfg.Trace = nil
+		if n := testing.AllocsPerRun(10, f.measure); n > 0 {
+			t.Errorf("%v allocations while nothing changes", n)
+		}
+	})
+}
+
 // A process that is met by nobody serves with its even part once nobody can use that any more, and a fleet of another label
 // is another fleet.
 func TestAlone(t *testing.T) {
