Have processes that were all late at once speak again, and read a turn's words once

Cause: a process that did not get to its tick for 1 s says nothing before it has heard a fact (Store.wake, mute). Silence ends by itself 3 s after the stop now.

Turn reads the words of the list service once a look instead of twice.

--- a/internal/fleet/fact/fact_test.go
+++ b/internal/fleet/fact/fact_test.go
@@ -192,6 +192,31 @@
 	})
 }
 
+// Processes that were all stopped at once, or late, don't wait for each other's words for ever.
+func TestAllStoppedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stores := []*Store{New("a", 1, short, nil), New("b", 1, short, nil), New("c", 1, short, nil)}
+		time.Sleep(stoppedAfter + time.Millisecond)
+		began, heard := time.Now(), false
+		for !heard && time.Since(began) < time.Minute {
+			time.Sleep(TickEvery)
+			for i, s := range stores {
+				s.Tick()
+				s.Tell(Service, "x", nil)
+				if data := s.Gossip(1000, len(stores)); data != nil {
+					if err := stores[(i+1)%len(stores)].Hear(data); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			heard = len(stores[1].Now(Service)) > 1
+		}
+		if took := time.Since(began); took > muteFor+time.Second {
+			t.Errorf("silent for %v", took)
+		}
+	})
+}
+
 // What is new goes round quickly and then is not repeated for ever; a restarted observer's words replace the older ones.
 func TestSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -56,8 +56,10 @@
 	TickEvery    = 100 * time.Millisecond
 	stoppedAfter = time.Second
 	deafFor      = 500 * time.Millisecond // until its sockets are drained
-	mostHeld     = 20000                  // facts: about 4 MB
-	sendsFactor  = 3                      // a fact is passed on so many times the log of the fleet's size
+	// Nothing is said before something was heard, or so long: where all were late at once, each would wait for the others.
+	muteFor     = 3 * time.Second
+	mostHeld    = 20000 // facts: about 4 MB
+	sendsFactor = 3     // a fact is passed on so many times the log of the fleet's size
 )
 
 type key struct {
@@ -104,7 +106,7 @@
 	born    time.Time
 	ticked  time.Time
 	deaf    time.Time // nothing is heard and nothing said before it
-	mute    bool      // nothing was heard since the last stop
+	mute    time.Time // nothing is said before it, unless something is heard
 	facts   map[Kind]*shelf
 	held    int     // on all shelves
 	due     []*held // that may have to be passed on
@@ -219,7 +221,7 @@
 		}
 		s.held, s.due = 0, nil
 		s.stops++
-		s.ticked, s.deaf, s.mute = now, now.Add(deafFor), true
+		s.ticked, s.deaf, s.mute = now, now.Add(deafFor), now.Add(muteFor)
 	}
 	return !now.Before(s.deaf)
 }
@@ -254,7 +256,7 @@
 		return nil
 	}
 	way := s.transit.way(m, now, now.Sub(s.born))
-	s.mute = false
+	s.mute = time.Time{}
 	for _, f := range m.Facts {
 		f.Age += way
 		if f.Observer == s.self {
@@ -314,7 +316,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !s.wake(now) || s.mute {
+	if !s.wake(now) || now.Before(s.mute) {
 		return nil
 	}
 	times := int(math.Ceil(math.Log10(float64(members) + 1)))
--- a/internal/fleet/start/pacer.go
+++ b/internal/fleet/start/pacer.go
@@ -100,9 +100,8 @@
 // Version is the highest version of the list that anyone has told of lately.
 func (p *Pacer) Version() int64 { _, _, v := p.seen(); return v }
 
-// window is the span in which so many have their turns.
-func (p *Pacer) window(starters int) time.Duration {
-	rate, _, _ := p.seen()
+// window is the span in which so many have their turns at a rate.
+func (p *Pacer) window(starters int, rate float64) time.Duration {
 	p.mu.Lock()
 	back := math.Exp2(float64(min(p.fails, doublings)))
 	p.mu.Unlock()
@@ -125,7 +124,7 @@
 		starters = max(starters, seen())
 		rate, refused, _ := p.seen()
 		now := time.Now()
-		due := began.Add(time.Duration(place * float64(p.window(starters))))
+		due := began.Add(time.Duration(place * float64(p.window(starters, rate))))
 		if early := p.born.Add(gather); due.Before(early) {
 			due = early.Add(time.Duration(place * float64(lookEvery)))
 		}
