Don't ask seeds without a wait while they answer

Cause: List.Run began its waits anew whenever a Join had succeeded. While members count as dead only because all are late, or a seed is known by another address, each member made up to three exchanges of everything known each 50 to 100 ms, and late members were made later by them.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -151,9 +151,9 @@
 	waits.Reset()
 	for gone := false; !gone; {
 		if to := l.missing(); len(to) > 0 {
-			if n, err := list.Join(to); n > 0 {
-				waits.Reset()
-			} else if err != nil {
+			// An answer does not begin the waits anew: each is an exchange of all that both know, and while some are taken
+			// for dead since all are late, more of them made everyone later.
+			if n, err := list.Join(to); n == 0 && err != nil {
 				l.cfg.Log.Debug("nobody was found", "asked", to, "error", err)
 			}
 		}
--- /dev/null
+++ b/internal/fleet/member/member_test.go
@@ -0,0 +1,69 @@
+package member
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A seed that answers and yet is never there, as one given by another address than its own, is asked ever less often.
+func TestAnswersBringNoHurry(t *testing.T) {
+	t.Parallel()
+	ctx, end := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer end()
+	way, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer way.Close()
+	begin := func(name string, seeds ...string) *List {
+		l, err := New(Config{Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Seeds: seeds, Log: slog.New(slog.DiscardHandler), Turn: func() {},
+			Trip: func(string, time.Duration) {}, Hear: func([]byte) {}, Gossip: func(int, int) []byte { return nil }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		tasks.Go(func() { _ = l.Run(ctx) }) // it ends with ctx
+		return l
+	}
+	seed := begin("seed")
+	var asked atomic.Int32
+	first := make(chan struct{})
+	tasks.Go(func() {
+		for {
+			c, err := way.Accept()
+			if err != nil {
+				return
+			}
+			if asked.Add(1) == 1 {
+				close(first)
+			}
+			tasks.Go(func() {
+				defer c.Close()
+				s, err := net.Dial("tcp", seed.Addr().String())
+				if err != nil {
+					return
+				}
+				defer s.Close()
+				tasks.Go(func() { _, _ = io.Copy(s, c) }) // until either end closes
+				_, _ = io.Copy(c, s)
+			})
+		}
+	})
+	begin("other", way.Addr().String())
+	<-first
+	<-time.After(3 * time.Second) // the span in which it is counted
+	if n := asked.Load(); n > 14 {
+		t.Errorf("asked %d times in 3 s", n)
+	} else {
+		t.Logf("asked %d times in 3 s", n)
+	}
+	way.Close()
+}
