Add the agent's side of hubs: one stream, and what follows from it

The flat fleet's cost grows with its size. Its fleet address stays held, by a door or by the flat fleet that runs while there is no hub.

--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -167,18 +167,24 @@
 // Hear takes a message that came now. What is in it of this process's own name is its own echo, or another process's
 // with the same name, and is passed over.
 func (s *Store) Hear(data []byte) error {
+	_, err := s.HearWay(data)
+	return err
+}
+
+// HearWay is Hear, and says how long the message was on its way at the most; 0: it was not heard.
+func (s *Store) HearWay(data []byte) (way time.Duration, err error) {
 	m, err := Decode(data)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	if err != nil {
 		s.bad++
-		return err
+		return 0, err
 	}
 	if !s.wake(now) || m.Sender == s.self {
-		return nil
+		return 0, nil
 	}
-	way := s.transit.way(m, now, now.Sub(s.born))
+	way = s.transit.way(m, now, now.Sub(s.born))
 	s.mute = false
 	for _, f := range m.Facts {
 		f.Age += way
@@ -203,7 +209,7 @@
 		}
 		s.facts[k] = &held{Fact: f, at: now}
 	}
-	return nil
+	return way, nil
 }
 
 // Now returns the facts of a kind that may be used now, by subject and observer, each with its age.
--- /dev/null
+++ b/internal/fleet/fact/trace.go
@@ -0,0 +1,41 @@
+package fact
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+)
+
+// Trace writes a line for each fact used or told, and what else is to be checked from outside, with the time on the wall.
+type Trace struct{ W io.Writer } // nil: none
+
+var traces sync.Mutex
+
+// Use writes a fact's use, or that it was told.
+func (t Trace) Use(u Use) {
+	if t.W == nil {
+		return
+	}
+	what := "use"
+	if u.Told {
+		what = "tell"
+	}
+	t.Line(map[string]any{"what": what, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
+		"incarnation": u.Incarnation, "seq": u.Seq, "age": u.Now.Microseconds()})
+}
+
+// Line writes a line of names and numbers.
+func (t Trace) Line(line map[string]any) {
+	if t.W == nil {
+		return
+	}
+	line["at"] = time.Now().UnixMicro()
+	data, err := json.Marshal(line)
+	if err != nil {
+		panic(err) // it holds names and numbers alone
+	}
+	traces.Lock()
+	defer traces.Unlock()
+	_, _ = t.W.Write(append(data, '\n'))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,11 +7,12 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -45,6 +46,9 @@
 
 	Residency *residency.Holder // nil: none
 	Source    bool              // of the residency policy
+
+	Door  *net.TCPListener // at Listen, if it is held already: the fleet closes it
+	Since time.Time        // when this process began; zero: now
 }
 
 // Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
@@ -92,11 +96,11 @@
 	if cfg.Bounds == nil {
 		cfg.Bounds = fact.DefaultBounds
 	}
-	f := &Fleet{cfg: cfg, told: told, zones: zones, turn: make(chan struct{}, 1), born: time.Now(), part: -1, fetched: map[string]time.Time{}}
+	f := &Fleet{cfg: cfg, told: told, zones: zones, turn: make(chan struct{}, 1), born: cmp.Or(cfg.Since, time.Now()), part: -1, fetched: map[string]time.Time{}}
 	incarnation := uint64(time.Now().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
 	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
 	f.relay = newRelay(f)
-	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await,
+	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await, Door: cfg.Door,
 		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation}, Log: cfg.Log,
 		Hear: func(data []byte) {
 			if err := f.facts.Hear(data); err != nil {
@@ -331,31 +335,11 @@
 
 // traceUse writes a fact's use, or that it was told, with the time on the wall: for who checks ages from outside.
 func (f *Fleet) traceUse(u fact.Use) {
-	if f.cfg.Trace == nil {
-		return
-	}
-	what := "use"
-	if u.Told {
-		what = "tell"
-	}
-	f.trace(map[string]any{"what": what, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
-		"incarnation": u.Incarnation, "seq": u.Seq, "age": u.Now.Microseconds()})
+	fact.Trace{W: f.cfg.Trace}.Use(u)
 }
 
-var traces sync.Mutex
-
 func (f *Fleet) trace(line map[string]any) {
-	if f.cfg.Trace == nil {
-		return
-	}
-	line["at"] = time.Now().UnixMicro()
-	data, err := json.Marshal(line)
-	if err != nil {
-		panic(err) // it holds names and numbers alone
-	}
-	traces.Lock()
-	defer traces.Unlock()
-	_, _ = f.cfg.Trace.Write(append(data, '\n'))
+	fact.Trace{W: f.cfg.Trace}.Line(line)
 }
 
 // named is the member of a name, if it is there.
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -66,6 +66,8 @@
 	Turn   func()                             // who is there has changed; must not wait
 	Probe  func(data []byte, from netip.AddrPort, at time.Time)
 	Call   func(net.Conn) // an HTTP call
+
+	Door *net.TCPListener // at Listen, if it is held already: the list closes it
 }
 
 // Facts of one packet. A memberlist packet holds more; less keeps a lossy way whole.
@@ -90,6 +92,7 @@
 // New listens. It says nothing before Run.
 func New(cfg Config) (*List, error) {
 	t := newTransport(cfg.Listen, cfg.Advertise)
+	t.tcp = cfg.Door
 	if err := t.bind(); err != nil && !(cfg.Await && errors.Is(err, syscall.EADDRINUSE)) {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -59,8 +59,10 @@
 // bind opens the sockets.
 func (t *transport) bind() error {
 	var err error
-	if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(t.listen)); err != nil {
-		return err
+	if t.tcp == nil {
+		if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(t.listen)); err != nil {
+			return err
+		}
 	}
 	at := t.listen
 	if at.Port() == 0 {
@@ -68,6 +70,7 @@
 	}
 	if t.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
 		t.tcp.Close()
+		t.tcp = nil
 		return err
 	}
 	_ = t.udp.SetReadBuffer(socketBuffer) // as large as the system allows
--- /dev/null
+++ b/internal/fleet/spoke/texts.go
@@ -0,0 +1,79 @@
+package spoke
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"brookferry/internal/fleet/fact"
+	"brookferry/internal/fleet/hub/frame"
+	"brookferry/internal/fleet/texts"
+	"brookferry/internal/residency"
+)
+
+// All agents of a hub hear of a new text at once, and ask for it within this time.
+const spread = time.Second
+
+// state is how this agent stands, as a hub is told.
+type state struct {
+	serving          bool
+	settings, policy frame.Standing
+}
+
+func (s *Spoke) state() state {
+	st := state{serving: s.serving.Load()}
+	if s.cfg.Settings != nil {
+		st.settings = s.cfg.Settings.Standing()
+	}
+	if s.cfg.Residency != nil {
+		st.policy = policyStanding(s.cfg.Residency.State())
+	}
+	return st
+}
+
+func policyStanding(st residency.State) frame.Standing {
+	p := frame.Standing{Version: st.Version}
+	switch len(st.Digests) {
+	case 0:
+	case 1:
+		p.Digest = st.Digests[0]
+	default:
+		p.Why = fmt.Sprintf("%d texts have this version", len(st.Digests))
+	}
+	return p
+}
+
+// follow sets up the texts that are followed.
+func (s *Spoke) follow() {
+	if h := s.cfg.Residency; h != nil {
+		s.texts = append(s.texts, &texts.Kind{Kind: fact.Residency, Path: "/residency/", Most: residency.MaxText, Holder: h, Digest: residency.Digest, Confirm: h.Confirm,
+			State: func() texts.Standing {
+				st := h.State()
+				return texts.Standing{Version: st.Version, Digests: st.Digests}
+			}, Spread: spread})
+	}
+	if h := s.cfg.Settings; h != nil {
+		s.texts = append(s.texts, &texts.Kind{Kind: fact.Settings, Path: "/settings/", Most: residency.MaxText, Holder: h, Digest: residency.Digest, Wants: h.Wants,
+			State: func() texts.Standing {
+				st := h.Standing()
+				return texts.Standing{Version: st.Version, Digests: []string{st.Digest}}
+			}, Spread: spread})
+	}
+}
+
+// heed heeds what hubs tell of texts, and asks this agent's hub for what it lacks.
+func (s *Spoke) heed(ctx context.Context) {
+	for _, k := range s.texts {
+		for _, w := range s.facts.Now(k.Kind) {
+			k.Follow(ctx, w, s.whom)
+		}
+	}
+}
+
+func (s *Spoke) whom() texts.Asked {
+	a := texts.Asked{Dial: s.dialer.DialContext}
+	if addr := s.hub(); addr != "" {
+		a.Addrs = []string{addr}
+	}
+	return a
+}
