Have texts with versions go round a fleet by one package, and members say that they are hubs

Settings are to go the way that the residency policy goes: told by version and digest, asked for over HTTP. What did that for the policy is internal/fleet/texts now. A member may say that it is a hub: it has no part of the limit, relays no lists for others, and is never told to be a dead agent. internal/fleet tests pass under -race.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -25,6 +26,7 @@
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/member"
 	"brookferry/internal/fleet/start"
+	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
 )
 
@@ -45,6 +47,10 @@
 
 	Residency *residency.Holder // nil: none
 	Source    bool              // of the residency policy
+	Settings  *texts.Kind       // that this process holds for others; nil: none
+
+	Hub   bool         // this process is a hub, and no agent
+	Calls http.Handler // of HTTP on the fleet's address, but for texts and lists; nil: none
 }
 
 // Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
@@ -66,15 +72,15 @@
 	turn   chan struct{} // who is there has changed, at most one waiting
 	born   time.Time
 	gossip atomic.Int64 // bytes
+	texts  []shared
 
-	mu      sync.Mutex
-	met     time.Time // when anyone was first met
-	part    float64
-	trips   []time.Duration
-	losses  []float64
-	matrix  distance.Matrix
-	ready   bool
-	fetched map[string]time.Time // policies asked for, by digest
+	mu     sync.Mutex
+	met    time.Time // when anyone was first met
+	part   float64
+	trips  []time.Duration
+	losses []float64
+	matrix distance.Matrix
+	ready  bool
 }
 
 // New listens. zones are the sites, in the order in which the module counts them.
@@ -92,12 +98,15 @@
 	if cfg.Bounds == nil {
 		cfg.Bounds = fact.DefaultBounds
 	}
-	f := &Fleet{cfg: cfg, told: told, zones: zones, turn: make(chan struct{}, 1), born: time.Now(), part: -1, fetched: map[string]time.Time{}}
+	if cfg.Calls == nil {
+		cfg.Calls = http.NotFoundHandler()
+	}
+	f := &Fleet{cfg: cfg, texts: cfg.shared(), told: told, zones: zones, turn: make(chan struct{}, 1), born: time.Now(), part: -1}
 	incarnation := uint64(time.Now().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
 	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
 	f.relay = newRelay(f)
 	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await,
-		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation}, Log: cfg.Log,
+		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation, Hub: cfg.Hub}, Log: cfg.Log,
 		Hear: func(data []byte) {
 			if err := f.facts.Hear(data); err != nil {
 				cfg.Log.Debug("a message of the fleet makes no sense", "error", err)
@@ -141,8 +150,8 @@
 	if f.cfg.Matrix {
 		tasks.Go(func() { f.prober.Run(ctx) })
 	}
-	if f.cfg.Residency != nil {
-		tasks.Go(func() { f.shareResidency(ctx) })
+	if len(f.texts) > 0 {
+		tasks.Go(func() { f.shareTexts(ctx) })
 	}
 	err := f.list.Run(ctx)
 	if ctx.Err() == nil && err == nil { // it left for another with its name
@@ -244,7 +253,9 @@
 func (f *Fleet) reckon() {
 	alive := map[string]bool{}
 	for _, m := range f.list.Alive() {
-		alive[m.Name] = true
+		if !m.Hub { // it has no part
+			alive[m.Name] = true
+		}
 	}
 	gone, me := map[string]bool{}, false
 	for _, g := range f.facts.Now(fact.Gone) {
@@ -255,6 +266,8 @@
 		for _, name := range names {
 			if name == f.cfg.Name {
 				me = true
+			} else if f.IsHub(name) {
+				continue // told by an earlier program
 			} else if !alive[name] {
 				gone[name] = true
 			}
@@ -301,7 +314,7 @@
 		calls.Wait()
 		var names []string
 		for i, m := range doomed {
-			if dead[i] {
+			if dead[i] && !m.Hub { // a hub has no part that others could use
 				names = append(names, m.Name)
 			}
 		}
--- /dev/null
+++ b/internal/fleet/hubs.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"brookferry/internal/fleet/distance"
+	"brookferry/internal/fleet/fact"
+	"brookferry/internal/fleet/member"
+)
+
+// What a hub needs of the fleet that it is in; see hub.Fleet.
+
+// Facts are what is known here.
+func (f *Fleet) Facts() *fact.Store { return f.facts }
+
+// Hubs are the other hubs that are there.
+func (f *Fleet) Hubs() (list []member.Member) {
+	for _, m := range f.list.Alive() {
+		if m.Hub && m.Name != f.cfg.Name {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Missing are the hubs that are not there and may be; see member.List.
+func (f *Fleet) Missing() []member.Member { return f.list.Missing() }
+
+// Flat are the names of the agents that are members themselves.
+func (f *Fleet) Flat() map[string]bool {
+	names := map[string]bool{}
+	for _, m := range f.list.Alive() {
+		if !m.Hub {
+			names[m.Name] = true
+		}
+	}
+	return names
+}
+
+// IsHub reports whether a name is of a hub that was met.
+func (f *Fleet) IsHub(name string) bool {
+	for _, m := range f.named(name) {
+		return m.Hub
+	}
+	return f.list.WasHub(name)
+}
+
+// Dead reports whether the process that had an address is gone for certain.
+func (f *Fleet) Dead(ctx context.Context, m member.Member, within time.Duration) bool {
+	return f.list.Dead(ctx, m, within)
+}
+
+// Matrix is how far the sites are from each other, as known now.
+func (f *Fleet) Matrix() distance.Matrix {
+	return distance.Make(f.facts.Now(fact.Distance), f.list.Alive())
+}
+
+// Trace writes a use of a fact, or that it was told, for who checks ages from outside.
+func (f *Fleet) Trace(u fact.Use) { f.traceUse(u) }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -36,8 +36,9 @@
 type Meta struct {
 	Site    string `cbor:"1,keyasint"` // its zone
 	Phase   Phase  `cbor:"2,keyasint"`
-	Version string `cbor:"3,keyasint"` // of the program
-	Started uint64 `cbor:"4,keyasint"` // which process of the name it is
+	Version string `cbor:"3,keyasint"`           // of the program
+	Started uint64 `cbor:"4,keyasint"`           // which process of the name it is
+	Hub     bool   `cbor:"5,keyasint,omitempty"` // it serves agents, and is none itself: no part of the limit is its own
 }
 
 // Member is one of the fleet, as known here.
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -127,12 +125,11 @@
 }
 
 func (r *relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	if digest, ok := strings.CutPrefix(q.URL.Path, "/residency/"); ok {
-		r.policy(w, digest)
+	if r.f.serveText(w, q) {
 		return
 	}
 	if q.URL.Path != "/catalog/members" {
-		http.NotFound(w, q)
+		r.f.cfg.Calls.ServeHTTP(w, q)
 		return
 	}
 	at, _ := strconv.ParseInt(q.URL.Query().Get("since"), 10, 64) // absent or odd: the whole list
@@ -172,31 +169,11 @@
 	}
 }
 
-// policy hands out a text of the residency policy.
-func (r *relay) policy(w http.ResponseWriter, digest string) {
-	if r.f.cfg.Residency == nil {
-		http.Error(w, "no policy is here", http.StatusNotFound)
-		return
-	}
-	version, text, ok := r.f.cfg.Residency.Text(digest)
-	if !ok {
-		http.Error(w, "no such text is here", http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(policyText{version, text}) // the other side sees that it is cut off
-}
-
-type policyText struct {
-	Version int64  `json:"version"`
-	Text    string `json:"text"`
-}
-
 // relays are the members of this site that ask the service for the others, the same at every member that sees the same.
 func (f *Fleet) relays() (list []member.Member) {
 	var site []member.Member
 	for _, m := range f.list.Alive() {
-		if m.Site == f.cfg.Site {
+		if m.Site == f.cfg.Site && !m.Hub {
 			site = append(site, m)
 		}
 	}
