--- a/internal/fleet/hub/census.go
+++ b/internal/fleet/hub/census.go
@@ -1,15 +1,24 @@
 package hub
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"fmt"
 
-// Census is how many agents a hub, or all of them, know of.
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Census is how many agents there are: at one hub, as hubs tell each other, or of a fleet, as they tell their agents.
 type Census struct {
 	Attached uint32 `cbor:"1,keyasint"`
-	Starting uint32 `cbor:"2,keyasint"` // of the attached: without a list
-	Gone     uint32 `cbor:"3,keyasint"` // dead for certain
+	Starting uint32 `cbor:"2,keyasint"` // of these
+	Gone     uint32 `cbor:"3,keyasint"` // dead for certain; of a fleet alone
 }
 
-// MarshalBody is the census as a fact's body.
+// FleetCensus is the subject of the census of a fleet; a hub's own has its name.
+const FleetCensus = "fleet"
+
+const mostAgents = 1 << 20 // what is above makes no sense
+
+// MarshalBody writes a census as a fact's body.
 func (c Census) MarshalBody() []byte {
 	body, err := cbor.Marshal(c)
 	if err != nil {
@@ -20,6 +29,11 @@
 
 // ParseCensus reads a fact's body.
 func ParseCensus(body []byte) (c Census, err error) {
-	err = cbor.Unmarshal(body, &c)
-	return c, err
+	if err = cbor.Unmarshal(body, &c); err != nil {
+		return c, err
+	}
+	if c.Attached > mostAgents || c.Gone > mostAgents || c.Starting > c.Attached {
+		return Census{}, fmt.Errorf("a census of %d, %d and %d", c.Attached, c.Starting, c.Gone)
+	}
+	return c, nil
 }
--- a/internal/fleet/spoke/act.go
+++ b/internal/fleet/spoke/act.go
@@ -43,7 +43,7 @@
 func (s *Spoke) census() (c hub.Census, fresh bool) {
 	for _, f := range s.facts.Now(fact.Census) {
 		x, err := hub.ParseCensus(f.Body)
-		if err != nil || f.Subject != "fleet" {
+		if err != nil || f.Subject != hub.FleetCensus {
 			continue
 		}
 		if !fresh {
--- a/internal/fleet/spoke/standin_test.go
+++ b/internal/fleet/spoke/standin_test.go
@@ -161,7 +161,7 @@
 		m.Facts = append(m.Facts, fact.Fact{Kind: k, Subject: subject, Observer: h.name, Incarnation: 1, Seq: h.seq.Add(1), Body: body})
 	}
 	if !h.mute.Load() && !h.old {
-		add(fact.Census, "fleet", h.census.MarshalBody())
+		add(fact.Census, hub.FleetCensus, h.census.MarshalBody())
 		row, _ := cbor.Marshal(map[int]any{1: []map[int]any{{1: "b", 2: h.trip, 3: 0, 4: 0, 5: 9}}})
 		add(fact.Distance, "a", row)
 	}
--- a/internal/fleet/spoke/texts.go
+++ b/internal/fleet/spoke/texts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/hub/frame"
 	"brookferry/internal/fleet/texts"
@@ -46,14 +47,12 @@
 // follow sets up the texts that are followed.
 func (s *Spoke) follow() {
 	if h := s.cfg.Residency; h != nil {
-		s.texts = append(s.texts, &texts.Kind{Kind: fact.Residency, Path: "/residency/", Most: residency.MaxText, Holder: h, Digest: residency.Digest, Confirm: h.Confirm,
-			State: func() texts.Standing {
-				st := h.State()
-				return texts.Standing{Version: st.Version, Digests: st.Digests}
-			}, Spread: spread})
+		k := fleet.Policy(h)
+		k.Spread = spread
+		s.texts = append(s.texts, k)
 	}
 	if h := s.cfg.Settings; h != nil {
-		s.texts = append(s.texts, &texts.Kind{Kind: fact.Settings, Path: "/settings/", Most: residency.MaxText, Holder: h, Digest: residency.Digest, Wants: h.Wants,
+		s.texts = append(s.texts, &texts.Kind{Fact: fact.Settings, Path: "/settings/", Most: residency.MaxText, Holder: h, Digest: residency.Digest, Wants: h.Wants,
 			State: func() texts.Standing {
 				st := h.Standing()
 				return texts.Standing{Version: st.Version, Digests: []string{st.Digest}}
@@ -64,7 +63,7 @@
 // heed heeds what hubs tell of texts, and asks this agent's hub for what it lacks.
 func (s *Spoke) heed(ctx context.Context) {
 	for _, k := range s.texts {
-		for _, w := range s.facts.Now(k.Kind) {
+		for _, w := range s.facts.Now(k.Fact) {
 			k.Follow(ctx, w, s.whom)
 		}
 	}
--- a/internal/fleet/texts/texts.go
+++ b/internal/fleet/texts/texts.go
@@ -54,7 +54,7 @@
 
 // Kind is one kind of text at one process.
 type Kind struct {
-	Kind    fact.Kind
+	Fact    fact.Kind
 	Subject string // of the fact that tells of it
 	Path    string // where texts are asked for, by digest
 	Most    int    // bytes
