Hold settings of all agents as one versioned text, laid over each agent's file

A change that concerns a whole fleet had to be made in the file of each agent, and nothing said where it held. internal/settings holds such a text: strict, checked over the agent's own file before it counts, synced before it is in force, never back, also over restarts. Of two texts under one version the first stands, and Standing says so, as it says why a newer text was not taken. config.ReadWith lays the text over a file, and blames the text, its line and key for a value that comes from it; keys of one agent alone are refused. Of what changes, discovery takes effect at once; the rest is listed as waiting for the next start.

What keeps texts on disk and follows a file moves from internal/residency to internal/versioned, used by both; residency's tests are unchanged.

Tests of settings, config, residency and fleet pass under the race detector. vetchhaven and adapter link none of it (go list -deps).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,6 +76,7 @@
 	Classes []Class `toml:"class"`
 
 	file, text string
+	over       *Settings // laid over the file; may be nil
 }
 
 // Zones are the zones there are: a list of names, where each stands alone, or a table from names to regions.
@@ -138,16 +139,21 @@
 )
 
 // Read reads and checks a file.
-func Read(file string) (*Config, error) {
+func Read(file string) (*Config, error) { return ReadWith(file, nil) }
+
+// ReadWith reads a file and lays settings over it, if there are any, and checks the whole.
+func ReadWith(file string, over *Settings) (*Config, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	return Parse(file, string(text))
+	return parseWith(file, string(text), over)
 }
 
 // Parse checks a configuration. file names it in errors.
-func Parse(file, text string) (*Config, error) {
+func Parse(file, text string) (*Config, error) { return parseWith(file, text, nil) }
+
+func parseWith(file, text string, over *Settings) (*Config, error) {
 	c := &Config{}
 	if err := strict.Decode("default.toml", Default, c); err != nil {
 		panic(err) // it is part of the program
@@ -155,11 +161,20 @@
 	if err := strict.Decode(file, text, c); err != nil {
 		return nil, err
 	}
-	c.file, c.text = file, text
+	if over != nil {
+		if err := over.lay(c); err != nil {
+			return nil, err
+		}
+	}
+	c.file, c.text, c.over = file, text, over
 	return c, c.check()
 }
 
+// wrong blames the text that the value comes from.
 func (c *Config) wrong(key, format string, args ...any) error {
+	if c.over != nil && c.over.sets(key) {
+		return c.over.wrong(key, format, args...)
+	}
 	return strict.At(c.file, c.text, key, format, args...)
 }
 
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"brookferry/internal/strict"
+)
+
+// MaxSettings bounds a text of settings, in bytes.
+const MaxSettings = 64 << 10
+
+// Settings are a text for all agents of a fleet: keys that are laid over each agent's own file.
+type Settings struct {
+	Version int64
+	Text    string
+
+	file string         // names it in errors
+	keys map[string]any // what it sets
+}
+
+// ofOne says of the keys that can't be the same for all agents why not.
+var ofOne = []struct{ key, why string }{
+	{"name", "each agent has its own"}, {"listen", "each agent has its own"}, {"mgmt", "each agent has its own"},
+	{"seed", "each agent has its own"}, {"zone", "each agent has its own"}, {"peers", "each agent has its own place there"},
+	{"zones", "the numbers of zones must stay while an agent runs, and its hubs are named by them"},
+	{"fleet", "it says how an agent comes by these settings"}, {"settings", "it says how an agent comes by these settings"},
+	{"residency", "the policy travels by itself"}, {"limits", "they are the machine's"}, {"attempts.from", "it is the machine's"},
+}
+
+// stand is the least that an agent's file says: settings are checked over it where no agent's file is at hand.
+const stand = "discovery = \"127.0.0.1:1\"\n[[class]]\nname = \"any\"\neffect = \"safe\"\naim = \"1s\"\ndeadline = \"1s\"\n"
+
+// ParseSettings reads settings, and checks what can be checked without an agent's file. file names them in errors.
+func ParseSettings(file, text string) (*Settings, error) {
+	if len(text) > MaxSettings {
+		return nil, fmt.Errorf("%s: %d bytes, at most %d", file, len(text), MaxSettings)
+	}
+	s := &Settings{Text: text, file: file}
+	if _, err := toml.Decode(text, &s.keys); err == nil { // else it is told below, with its line
+		for _, k := range ofOne {
+			if s.sets(k.key) {
+				return nil, s.wrong(k.key, "is not for settings of all agents: %s", k.why)
+			}
+		}
+	}
+	if _, err := parseWith("", stand, s); err != nil {
+		return nil, err
+	}
+	if s.Version < 1 {
+		return nil, s.wrong("version", "%d is not a number from 1: each change has a higher one", s.Version)
+	}
+	return s, nil
+}
+
+// lay sets in c what the text sets. Its classes replace the agent's as a whole: decoded in place, one would keep what the
+// text leaves out.
+func (s *Settings) lay(c *Config) error {
+	if s.sets("class") {
+		c.Classes = nil
+	}
+	v := struct {
+		*Config
+		Version int64 `toml:"version"`
+	}{Config: c}
+	err := strict.Decode(s.file, s.Text, &v)
+	s.Version = v.Version
+	return err
+}
+
+// sets says whether a key, as it stands in errors, is the text's own. Of classes all keys are, or none.
+func (s *Settings) sets(key string) bool {
+	if strings.HasPrefix(key, "class") {
+		key = "class"
+	}
+	at := s.keys
+	for rest, more := key, true; more; {
+		var name string
+		name, rest, more = strings.Cut(rest, ".")
+		var below map[string]any
+		set := false
+		for k, v := range at {
+			if strings.EqualFold(k, name) { // as they are decoded
+				below, _ = v.(map[string]any)
+				set = true
+			}
+		}
+		if !set {
+			return false
+		}
+		at = below
+	}
+	return true
+}
+
+// wrong names the line of the key, or of the table that it stands in or is missing from.
+func (s *Settings) wrong(key, format string, args ...any) error {
+	e := &strict.Error{File: s.file, Key: key, Text: fmt.Sprintf(format, args...)}
+	for at := key; at != "" && e.Line == 0; {
+		e.Line = strict.Line(s.Text, at)
+		at = at[:max(0, strings.LastIndexAny(at, ".["))]
+	}
+	return e
+}
+
+// Diff lists the keys in which two configurations differ, in the order of the defaults.
+func Diff(a, b *Config) []string { return diff(reflect.ValueOf(*a), reflect.ValueOf(*b), "") }
+
+func diff(a, b reflect.Value, key string) (keys []string) {
+	switch t := a.Type(); {
+	case t.Kind() == reflect.Struct && t != reflect.TypeFor[Zones]():
+		for i := range t.NumField() {
+			if name := t.Field(i).Tag.Get("toml"); name != "" {
+				keys = append(keys, diff(a.Field(i), b.Field(i), strings.TrimPrefix(key+"."+name, "."))...)
+			}
+		}
+	case t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct && a.Len() == b.Len():
+		for i := range a.Len() {
+			keys = append(keys, diff(a.Index(i), b.Index(i), fmt.Sprintf("%s[%d]", key, i))...)
+		}
+	case !reflect.DeepEqual(a.Interface(), b.Interface()):
+		keys = []string{key}
+	}
+	return keys
+}
--- a/internal/residency/policy.go
+++ b/internal/residency/policy.go
@@ -9,11 +9,9 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"brookferry/internal/strict"
+	"brookferry/internal/versioned"
 )
 
 // Bounds of a policy.
@@ -151,4 +149,4 @@
 }
 
 // Digest tells texts apart.
-func Digest(text string) string { return strconv.FormatUint(xxhash.Sum64String(text), 16) }
+func Digest(text string) string { return versioned.Digest(text) }
--- /dev/null
+++ b/internal/settings/file.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"context"
+	"log/slog"
+
+	"brookferry/internal/versioned"
+)
+
+const keptName = "settings.json"
+
+// Keep returns what keeps versions in a folder, synced before they are in force: an older version never comes back.
+func Keep(dir string) func(version int64, texts []string) error {
+	return versioned.Keep(dir, keptName)
+}
+
+// Load takes what was kept in a folder. What is there and can't be read is an error: the process starts without settings,
+// and takes the first that come. What can be read and not be used, since the agent's own file is another now, is not in
+// force, and still no lower version is taken.
+func (h *Holder) Load(dir string) error {
+	version, texts, err := versioned.Load(dir, keptName)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	h.floor = version
+	h.mu.Unlock()
+	for i, text := range texts {
+		if err := h.Take(version, text); err != nil && i == 0 { // it is logged, and told
+			break // no other text may stand in its place
+		}
+	}
+	return nil
+}
+
+// Follow takes the file in which settings are given whenever it changes, until ctx ends. One that goes away or can't be
+// read changes nothing: what was given last stays in force until a higher version is given.
+func (h *Holder) Follow(ctx context.Context, file string, log *slog.Logger) {
+	versioned.Follow(ctx, file, func(text string, err error) {
+		if err != nil {
+			log.Error("settings: the file can't be read: what was given last stays", "error", err)
+			return
+		}
+		if err := h.take(file, 0, text); err != nil {
+			log.Error("settings: the file is not used: what was given last stays", "error", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/versioned/versioned.go
@@ -0,0 +1,104 @@
+// Package versioned keeps texts that have versions over restarts, and follows the file in which they are given.
+package versioned
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest tells texts apart.
+func Digest(text string) string { return strconv.FormatUint(xxhash.Sum64String(text), 16) }
+
+// kept is the form on disk.
+type kept struct {
+	Format  int      `json:"format"`
+	Version int64    `json:"version"`
+	Texts   []string `json:"texts"`
+}
+
+const keptFormat = 1
+
+// Keep returns what keeps versions under a name in a folder, synced when it returns: after a crash either the last
+// version or the one before is there, whole.
+func Keep(dir, name string) func(version int64, texts []string) error {
+	return func(version int64, texts []string) error {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		data, err := json.Marshal(kept{keptFormat, version, texts})
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(dir, name)
+		if err := writeSynced(path+".new", data); err != nil {
+			return err
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			return err
+		}
+		d, err := os.Open(dir)
+		if err != nil {
+			return err
+		}
+		defer d.Close()
+		return d.Sync()
+	}
+}
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	return errors.Join(err, f.Sync(), f.Close())
+}
+
+// Load reads what Keep kept; version 0: nothing was.
+func Load(dir, name string) (version int64, texts []string, err error) {
+	data, err := os.ReadFile(filepath.Join(dir, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0, nil, nil
+	}
+	var k kept
+	if err == nil {
+		err = json.Unmarshal(data, &k)
+	}
+	if err == nil && (k.Format != keptFormat || k.Version < 1) {
+		err = fmt.Errorf("format %d, version %d", k.Format, k.Version)
+	}
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s: %w", filepath.Join(dir, name), err)
+	}
+	return k.Version, k.Texts, nil
+}
+
+const lookEvery = 100 * time.Millisecond
+
+// Follow tells of a file's text at once and whenever it changes, until ctx ends. A file that goes away, or can't be read,
+// is told once, as an error; one that was never there is not.
+func Follow(ctx context.Context, file string, take func(text string, err error)) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	last := ""
+	for {
+		if data, err := os.ReadFile(file); string(data) != last {
+			last = string(data)
+			take(last, err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
