Join an agent with its hubs, and lay their settings over its file

[fleet.hubs] names hubs by zone, [settings] state keeps settings over restarts. An agent that a TOML file configures has the settings laid over it at the start; while it runs discovery's address alone takes effect, as after SIGHUP, and other keys are told to its hub as waiting for the next start. In the platform's form no text can be laid over: its other keys all wait.

--- a/cmd/martenbeam/agent.go
+++ b/cmd/martenbeam/agent.go
@@ -34,17 +34,10 @@
 	source := agent.Platform(os.Getenv)
 	source.Join = together.Shares
 	if c.Config != "" {
-		read := func() ([]byte, error) {
-			k, err := config.Read(c.Config)
-			if err != nil {
-				return nil, err
-			}
-			return k.Platform()
-		}
-		if _, err := read(); err != nil {
+		var err error
+		if source, err = together.File(c.Config, c.logger(o.stderr)); err != nil {
 			return usageError{err}
 		}
-		source = agent.Source{Name: c.Config, Read: read, Getenv: func(string) string { return "" }, Join: together.Shares}
 	} else if os.Getenv("PROXY_CONFIG") == "" {
 		return usageError{fmt.Errorf("no configuration: name a file with --config or MARTENBEAM_CONFIG, or set PROXY_CONFIG as the platform does")}
 	}
--- a/internal/agent/together.go
+++ b/internal/agent/together.go
@@ -20,8 +20,8 @@
 }
 
 // Join makes what an agent shares, before it runs. post takes what the fleet tells the decision module; it may wait, but
-// never for long.
-type Join func(cfg *Config, log *slog.Logger, post func(brookferry.Event)) (Together, gate.Keeper, error)
+// never for long. follow has the running agent watch discovery elsewhere, as after SIGHUP.
+type Join func(cfg *Config, log *slog.Logger, post func(brookferry.Event), follow func(discovery string)) (Together, gate.Keeper, error)
 
 // join has the agent share what its configuration says.
 func (a *Agent) join() error {
@@ -29,7 +29,7 @@
 		return nil
 	}
 	var err error
-	if a.together, a.loop.residency, err = a.cfg.Join(a.cfg, a.log, func(e brookferry.Event) { a.loop.post(e) }); err != nil {
+	if a.together, a.loop.residency, err = a.cfg.Join(a.cfg, a.log, func(e brookferry.Event) { a.loop.post(e) }, a.Follow); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
 	a.backends.residency = a.loop.residency
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,7 +46,10 @@
 	} `toml:"peers"`
 	Fleet     Fleet     `toml:"fleet"`
 	Residency Residency `toml:"residency"`
-	Attempts  struct {
+	Settings  struct {
+		State string `toml:"state"`
+	} `toml:"settings"`
+	Attempts struct {
 		Most           int             `toml:"most"`
 		ConnectTimeout strict.Duration `toml:"connect_timeout"`
 		IdleClose      strict.Duration `toml:"idle_close"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -42,6 +42,11 @@
 		{good + "zone = \"a\"\n[zones]\na = \"north\"\nb = 3" + class, `x.toml:5: zones.b: `},
 		{good + "zone = \"c\"\n[zones]\na = \"north\"\nb = \"south\"" + class, `x.toml:2: zone: "c" is none of zones`},
 		{good + "name = \"a\nb\"" + class, "x.toml:2: "},
+		{good + class + "[fleet]\nlisten = \"127.0.0.1:1\"\n[fleet.hubs]\na = \"127.0.0.1:2\"\nb = \"127.0.0.1:3\"", `x.toml:12: fleet.hubs.b: "b" is none of zones`},
+		{good + class + "[fleet]\nlisten = \"127.0.0.1:1\"\n[fleet.hubs]\na = \"here\"", `x.toml:11: fleet.hubs.a: "here" is no IP address and port`},
+		{good + class + "[fleet]\nlisten = \"127.0.0.1:1\"\nlabel = \"\"\n[fleet.hubs]\na = \"127.0.0.1:2\"", "x.toml:10: fleet.label: is needed where there are hubs"},
+		{good + class + "[fleet.hubs]\na = \"127.0.0.1:2\"", "x.toml: fleet.listen: is needed where there are hubs"},
+		{good + class + "[settings]\nstate = \"s\"", "x.toml:9: settings.state: is given, and there are no hubs"},
 	} {
 		_, err := Parse("x.toml", c.text)
 		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"brookferry/internal/residency"
@@ -10,20 +12,23 @@
 
 // Fleet is what an agent shares with others.
 type Fleet struct {
-	Listen    string   `toml:"listen"`
-	Advertise string   `toml:"advertise"`
-	Seeds     []string `toml:"seeds"`
-	Label     string   `toml:"label"`
-	Most      int      `toml:"most"`
-	Lists     string   `toml:"lists"`
-	ListRate  float64  `toml:"list_rate"`
-	Matrix    bool     `toml:"matrix"`
-	Trace     string   `toml:"trace"`
+	Listen    string            `toml:"listen"`
+	Advertise string            `toml:"advertise"`
+	Seeds     []string          `toml:"seeds"`
+	Hubs      map[string]string `toml:"hubs"` // addresses, by zone
+	Label     string            `toml:"label"`
+	Most      int               `toml:"most"`
+	Lists     string            `toml:"lists"`
+	ListRate  float64           `toml:"list_rate"`
+	Matrix    bool              `toml:"matrix"`
+	Trace     string            `toml:"trace"`
 	MaxAge    struct {
 		Service   strict.Duration `toml:"service"`
 		Distance  strict.Duration `toml:"distance"`
 		Residency strict.Duration `toml:"residency"`
 		Gone      strict.Duration `toml:"gone"`
+		Settings  strict.Duration `toml:"settings"`
+		Census    strict.Duration `toml:"census"`
 	} `toml:"max_age"`
 }
 
@@ -65,8 +70,12 @@
 	case f.Listen != "" && c.Name == "":
 		return c.wrong("name", "is needed where there is a fleet")
 	}
+	if err := c.checkHubs(); err != nil {
+		return err
+	}
 	for key, d := range map[string]strict.Duration{"fleet.max_age.service": f.MaxAge.Service, "fleet.max_age.distance": f.MaxAge.Distance,
-		"fleet.max_age.residency": f.MaxAge.Residency, "fleet.max_age.gone": f.MaxAge.Gone, "residency.bound": r.Bound} {
+		"fleet.max_age.residency": f.MaxAge.Residency, "fleet.max_age.gone": f.MaxAge.Gone,
+		"fleet.max_age.settings": f.MaxAge.Settings, "fleet.max_age.census": f.MaxAge.Census, "residency.bound": r.Bound} {
 		if d < strict.Duration(100*time.Millisecond) || d > strict.Duration(time.Hour) {
 			return c.wrong(key, "%v is not between 100ms and 1h", d.D())
 		}
@@ -85,6 +94,27 @@
 	return nil
 }
 
+func (c *Config) checkHubs() error {
+	f := &c.Fleet
+	switch {
+	case len(f.Hubs) == 0 && c.Settings.State != "":
+		return c.wrong("settings.state", "is given, and there are no hubs to have settings from")
+	case len(f.Hubs) > 0 && f.Listen == "":
+		return c.wrong("fleet.listen", "is needed where there are hubs: they see there whether this agent has ended")
+	case len(f.Hubs) > 0 && f.Label == "":
+		return c.wrong("fleet.label", "is needed where there are hubs")
+	}
+	for _, zone := range slices.Sorted(maps.Keys(f.Hubs)) {
+		if !slices.Contains(c.Zones.Names, zone) {
+			return c.wrong("fleet.hubs."+zone, "%q is none of zones", zone)
+		}
+		if err := c.address("fleet.hubs."+zone, f.Hubs[zone], true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Shared is what an agent shares, in the platform's form: the platform's own program passes over it.
 type Shared struct {
 	Fleet     *SharedFleet     `json:"fleet"`
@@ -101,6 +131,8 @@
 	Listen    string             `json:"listen"`
 	Advertise string             `json:"advertise"`
 	Seeds     []string           `json:"seeds"`
+	Hubs      map[string]string  `json:"hubs"`           // addresses, by zone
+	Settings  string             `json:"settings_state"` // a folder
 	Label     string             `json:"label"`
 	Most      int                `json:"most"`
 	Lists     string             `json:"lists"`
@@ -121,9 +153,10 @@
 	ms := func(d strict.Duration) float64 { return d.D().Seconds() * 1e3 }
 	if c.Fleet.Listen != "" {
 		a := &c.Fleet.MaxAge
-		f = &SharedFleet{c.Fleet.Listen, c.Fleet.Advertise, c.Fleet.Seeds, c.Fleet.Label, c.Fleet.Most, c.Fleet.Lists, c.Fleet.ListRate,
+		f = &SharedFleet{c.Fleet.Listen, c.Fleet.Advertise, c.Fleet.Seeds, c.Fleet.Hubs, c.Settings.State, c.Fleet.Label, c.Fleet.Most, c.Fleet.Lists, c.Fleet.ListRate,
 			c.Fleet.Matrix, c.Fleet.Trace, map[string]float64{"service": ms(a.Service), "distance": ms(a.Distance),
-				"residency": ms(a.Residency), "gone": ms(a.Gone)}}
+				"residency": ms(a.Residency), "gone": ms(a.Gone),
+				"settings": ms(a.Settings), "census": ms(a.Census)}}
 	}
 	if c.Residency.On {
 		r = &SharedResidency{c.Residency.Policy, ms(c.Residency.Bound), c.Residency.State}
--- a/internal/fleet/spoke/spoke.go
+++ b/internal/fleet/spoke/spoke.go
@@ -19,10 +19,10 @@
 	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/hub"
-	"brookferry/internal/fleet/hub/frame"
 	"brookferry/internal/fleet/start"
 	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
+	"brookferry/internal/settings"
 )
 
 // Config is an agent's place in its fleet.
@@ -37,19 +37,12 @@
 	Relayed                     bool              // lists come by way of the hub
 	ListRate                    float64           // calls a second that the list service is taken to bear at first
 	Residency                   *residency.Holder // nil: none
-	Settings                    Settings          // nil: none
+	Settings                    *settings.Holder  // nil: none
 	Flat                        Flat              // nil: there is no flat fleet to fall back to
 	Log                         *slog.Logger
 	Trace                       io.Writer // a line for each fact used, and for each part taken; nil: none
 }
 
-// Settings are those in force at this agent.
-type Settings interface {
-	texts.Holder
-	Wants(version int64, digest string) bool
-	Standing() frame.Standing
-}
-
 // Flat makes the flat fleet of this agent at an address that is held already, by a process that began then.
 type Flat func(door *net.TCPListener, began time.Time, told fleet.Told) (*fleet.Fleet, error)
 
@@ -161,7 +154,7 @@
 		k.Policy = s.cfg.Residency.State().Version
 	}
 	if s.cfg.Settings != nil {
-		k.Settings = s.cfg.Settings.Standing().Version
+		k.Settings = s.cfg.Settings.State().Version
 	}
 	return k
 }
--- a/internal/fleet/spoke/texts.go
+++ b/internal/fleet/spoke/texts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"brookferry/internal/fleet"
@@ -10,11 +11,14 @@
 	"brookferry/internal/fleet/hub/frame"
 	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
+	"brookferry/internal/settings"
 )
 
 // All agents of a hub hear of a new text at once, and ask for it within this time.
 const spread = time.Second
 
+const mostWhy = 512 // bytes; what a frame takes
+
 // state is how this agent stands, as a hub is told.
 type state struct {
 	serving          bool
@@ -24,7 +28,7 @@
 func (s *Spoke) state() state {
 	st := state{serving: s.serving.Load()}
 	if s.cfg.Settings != nil {
-		st.settings = s.cfg.Settings.Standing()
+		st.settings = settingsStanding(s.cfg.Settings)
 	}
 	if s.cfg.Residency != nil {
 		st.policy = policyStanding(s.cfg.Residency.State())
@@ -32,6 +36,19 @@
 	return st
 }
 
+// settingsStanding tells, besides what is wrong, which keys wait for the next start.
+func settingsStanding(h *settings.Holder) frame.Standing {
+	st := frame.Standing(h.Standing())
+	if later := h.State().Later; len(later) > 0 {
+		why := "for the next start: " + strings.Join(later, ", ")
+		if st.Why != "" {
+			why = st.Why + "; " + why
+		}
+		st.Why = strings.ToValidUTF8(why[:min(len(why), mostWhy)], "") // a cut may go through a letter
+	}
+	return st
+}
+
 func policyStanding(st residency.State) frame.Standing {
 	p := frame.Standing{Version: st.Version}
 	switch len(st.Digests) {
@@ -52,10 +69,10 @@
 		s.texts = append(s.texts, k)
 	}
 	if h := s.cfg.Settings; h != nil {
-		s.texts = append(s.texts, &texts.Kind{Fact: fact.Settings, Path: "/settings/", Most: residency.MaxText, Holder: h, Digest: residency.Digest, Wants: h.Wants,
+		s.texts = append(s.texts, &texts.Kind{Fact: fact.Settings, Path: "/settings/", Most: settings.MaxText, Holder: h, Digest: settings.Digest, Wants: h.Wants,
 			State: func() texts.Standing {
-				st := h.Standing()
-				return texts.Standing{Version: st.Version, Digests: []string{st.Digest}}
+				st := h.State()
+				return texts.Standing{Version: st.Version, Digests: st.Digests}
 			}, Spread: spread})
 	}
 }
--- a/internal/together/together.go
+++ b/internal/together/together.go
@@ -17,12 +17,15 @@
 	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/source"
+	"brookferry/internal/fleet/spoke"
 	"brookferry/internal/residency"
 	"brookferry/internal/residency/gate"
 )
 
 // Shares reads what an agent shares with its fleet out of its configuration.
-func Shares(raw []byte) (agent.Join, error) {
+func Shares(raw []byte) (agent.Join, error) { return shares(raw, nil) }
+
+func shares(raw []byte, g *given) (agent.Join, error) {
 	s, err := config.ReadShared(raw)
 	if err != nil {
 		return nil, err
@@ -30,83 +33,106 @@
 	if s.Fleet == nil && s.Residency == nil {
 		return nil, nil
 	}
-	return func(cfg *agent.Config, log *slog.Logger, post func(brookferry.Event)) (agent.Together, gate.Keeper, error) {
-		return join(&s, cfg, log, post)
+	return func(cfg *agent.Config, log *slog.Logger, post func(brookferry.Event), follow func(discovery string)) (agent.Together, gate.Keeper, error) {
+		t := &together{log: log}
+		keeper, err := t.holdPolicy(s.Residency, cfg.Site.Zones)
+		switch {
+		case err != nil:
+			return nil, nil, err
+		case s.Fleet == nil:
+			return alone{t}, keeper, nil
+		}
+		if err := t.joinFleet(s.Fleet, g, cfg, post, follow); err != nil {
+			return nil, nil, err
+		}
+		return t, keeper, nil
 	}, nil
 }
 
 // together is an agent's fleet, and the policy's file where it is given here.
 type together struct {
-	*fleet.Fleet
+	agent.Together
 	holder *residency.Holder
 	file   string
 	trace  *os.File
 	log    *slog.Logger
 }
 
-func join(s *config.Shared, cfg *agent.Config, log *slog.Logger, post func(brookferry.Event)) (agent.Together, gate.Keeper, error) {
-	t := &together{log: log}
-	zones := cfg.Site.Zones
-	var keeper gate.Keeper
-	if r := s.Residency; r != nil {
-		var keep func(int64, []string) error
-		if r.State != "" {
-			keep = residency.Keep(r.State)
+// holdPolicy has the agent hold a policy, if it has one.
+func (t *together) holdPolicy(r *config.SharedResidency, zones []string) (gate.Keeper, error) {
+	if r == nil {
+		return nil, nil
+	}
+	var keep func(int64, []string) error
+	if r.State != "" {
+		keep = residency.Keep(r.State)
+	}
+	t.file = r.Policy
+	t.holder = residency.NewHolder(zones, time.Duration(r.BoundMs*float64(time.Millisecond)), r.Policy != "", t.log, keep)
+	if r.State != "" {
+		if err := t.holder.Load(r.State); err != nil {
+			t.log.Error("residency: what was kept can't be used", "error", err)
 		}
-		t.file = r.Policy
-		t.holder = residency.NewHolder(zones, time.Duration(r.BoundMs*float64(time.Millisecond)), r.Policy != "", log, keep)
-		if r.State != "" {
-			if err := t.holder.Load(r.State); err != nil {
-				log.Error("residency: what was kept can't be used", "error", err)
-			}
+	}
+	if r.Policy != "" { // before the first request: no agent serves a moment without it
+		p, text, err := residency.ReadFile(r.Policy)
+		if err != nil {
+			return nil, err
 		}
-		if r.Policy != "" { // before the first request: no agent serves a moment without it
-			p, text, err := residency.ReadFile(r.Policy)
-			if err != nil {
-				return nil, nil, err
-			}
-			if err := t.holder.Take(p.Version, text); err != nil {
-				log.Error("residency: the policy's file is not used", "version", p.Version, "error", err)
-			}
+		if err := t.holder.Take(p.Version, text); err != nil {
+			t.log.Error("residency: the policy's file is not used", "version", p.Version, "error", err)
 		}
-		keeper = t.holder
-	}
-	if s.Fleet == nil {
-		return alone{t}, keeper, nil
 	}
-	f := s.Fleet
+	return t.holder, nil
+}
+
+// joinFleet has the agent be in its fleet: by way of a hub, if there are hubs.
+func (t *together) joinFleet(f *config.SharedFleet, g *given, cfg *agent.Config, post func(brookferry.Event), follow func(discovery string)) (err error) {
 	if f.Trace != "" {
-		var err error
 		if t.trace, err = os.OpenFile(f.Trace, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
-			return nil, nil, err
-		}
-	}
-	bounds := fact.Bounds{}
-	for kind, d := range fact.DefaultBounds {
-		bounds[kind] = d
-		if ms, said := f.MaxAgeMs[kind.String()]; said {
-			bounds[kind] = time.Duration(ms * float64(time.Millisecond))
+			return err
 		}
 	}
+	zones := cfg.Site.Zones
 	site := ""
 	if z := cfg.Settings.Zone; z >= 0 && z < len(zones) {
 		site = zones[z]
 	}
 	c := fleet.Config{Name: cfg.Name, Site: site, Version: version(), Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Label: f.Label,
-		Most: f.Most, Await: cfg.ListenFD > 0, Bounds: bounds, Relayed: f.Lists == "relayed", ListRate: f.ListRate, Matrix: f.Matrix, Log: log,
+		Most: f.Most, Await: cfg.ListenFD > 0, Bounds: bounds(f), Relayed: f.Lists == "relayed", ListRate: f.ListRate, Matrix: f.Matrix, Log: t.log,
 		Residency: t.holder, Source: t.file != ""}
 	if t.trace != nil {
 		c.Trace = t.trace
 	}
-	var err error
-	t.Fleet, err = fleet.New(c, zones, fleet.Told{
+	told := fleet.Told{
 		Part:      func(part float64) { post(brookferry.Part{Of: part}) },
 		Distances: func(trip []time.Duration, loss []float64) { post(brookferry.Distances{Trip: trip, Loss: loss}) },
-	})
-	if err != nil {
-		return nil, nil, err
 	}
-	return t, keeper, nil
+	if len(f.Hubs) == 0 {
+		t.Together, err = fleet.New(c, zones, told)
+		return err
+	}
+	h := hubbed(c, f.Hubs, cfg)
+	if g == nil {
+		h.Settings = platformSettings(f.Settings, cfg, follow, t.log)
+	} else {
+		g.moves.set(follow)
+		h.Settings = g.holder
+	}
+	t.Together, err = spoke.New(h, zones, told)
+	return err
+}
+
+// bounds are how old facts may be when they are used.
+func bounds(f *config.SharedFleet) fact.Bounds {
+	b := fact.Bounds{}
+	for kind, d := range fact.DefaultBounds {
+		b[kind] = d
+		if ms, said := f.MaxAgeMs[kind.String()]; said {
+			b[kind] = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	return b
 }
 
 // Run stays in the fleet, and follows the policy's file, until ctx ends.
@@ -117,7 +143,7 @@
 	if t.trace != nil {
 		defer t.trace.Close()
 	}
-	if err := t.Fleet.Run(ctx); err != nil {
+	if err := t.Together.Run(ctx); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
 	return nil
