--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -251,10 +251,11 @@
 // have, except those that are dead for certain: of these the others use it while a word no older than its bound says so.
 // Who is merely not heard keeps its part: it may be alive beyond a cut. So the sum of all parts stays within the limit.
 func (f *Fleet) reckon() {
-	alive := map[string]bool{}
+	alive, agents := map[string]bool{}, 0
 	for _, m := range f.list.Alive() {
+		alive[m.Name] = true
 		if !m.Hub { // it has no part
-			alive[m.Name] = true
+			agents++
 		}
 	}
 	gone, me := map[string]bool{}, false
@@ -266,9 +267,7 @@
 		for _, name := range names {
 			if name == f.cfg.Name {
 				me = true
-			} else if f.IsHub(name) {
-				continue // told by an earlier program
-			} else if !alive[name] {
+			} else if !alive[name] && !f.list.WasHub(name) {
 				gone[name] = true
 			}
 		}
@@ -281,7 +280,7 @@
 	sure := now.Sub(f.born) >= f.cfg.Bounds[fact.Gone] || !f.met.IsZero() && now.Sub(f.met) >= metFor && !me
 	part := thin / float64(f.cfg.Most)
 	if sure {
-		part = 1 / float64(max(1, len(alive), f.cfg.Most-len(gone)))
+		part = 1 / float64(max(1, agents, f.cfg.Most-len(gone)))
 	}
 	same := part == f.part
 	f.part = part
--- a/internal/fleet/hubs.go
+++ b/internal/fleet/hubs.go
@@ -38,14 +38,6 @@
 	return names
 }
 
-// IsHub reports whether a name is of a hub that was met.
-func (f *Fleet) IsHub(name string) bool {
-	for _, m := range f.named(name) {
-		return m.Hub
-	}
-	return f.list.WasHub(name)
-}
-
 // Dead reports whether the process that had an address is gone for certain.
 func (f *Fleet) Dead(ctx context.Context, m member.Member, within time.Duration) bool {
 	return f.list.Dead(ctx, m, within)
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -18,7 +18,8 @@
 	// First bytes that tell others' words from the membership's on the same address: its messages begin with small
 	// numbers or, labelled, with 244.
 	ProbeByte = 0xd7 // a datagram of round trips
-	callByte  = 'G'  // a stream that is an HTTP call
+	getByte   = 'G'  // a stream that is an HTTP call
+	postByte  = 'P'  // the same
 
 	mostDatagram = 64 << 10
 	mostUnread   = 64              // streams of which the first byte has not come yet
@@ -168,7 +169,7 @@
 		return
 	}
 	s := &sorted{c, r}
-	if first[0] == callByte {
+	if first[0] == getByte || first[0] == postByte {
 		if t.call == nil {
 			c.Close()
 			return
