--- a/cmd/martenbeam/agent.go
+++ b/cmd/martenbeam/agent.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -8,6 +9,7 @@
 
 	"brookferry/internal/agent"
 	"brookferry/internal/config"
+	"brookferry/internal/settings"
 	"brookferry/internal/together"
 )
 
@@ -57,10 +59,19 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"A TOML file."`
+	File string `arg:"" optional:"" help:"A TOML file."`
+
+	Settings string `help:"Check settings of all agents instead (docs/settings.md)." placeholder:"FILE"`
+	With     string `help:"The agent's file over which the settings are laid." placeholder:"FILE"`
 }
 
 func (c *checkCmd) Run(o *output) error {
+	if c.Settings != "" {
+		return c.settings(o)
+	}
+	if c.File == "" || c.With != "" {
+		return usageError{errors.New("name a FILE, or settings with --settings FILE [--with FILE]")}
+	}
 	if _, err := config.Read(c.File); err != nil {
 		return usageError{err}
 	}
@@ -68,6 +79,22 @@
 	return nil
 }
 
+func (c *checkCmd) settings(o *output) error {
+	text, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	s, err := settings.Parse(c.Settings, string(text))
+	if err == nil && c.With != "" {
+		_, err = config.ReadWith(c.With, s)
+	}
+	if err != nil {
+		return usageError{err}
+	}
+	fmt.Fprintf(o.stdout, "%s: version %d can be used\n", c.Settings, s.Version)
+	return nil
+}
+
 type printCmd struct{}
 
 func (printCmd) Run(o *output) error {
--- a/cmd/martenbeam/main_test.go
+++ b/cmd/martenbeam/main_test.go
@@ -33,6 +33,7 @@
 // What can't be done ends with one line and exit 2; help and lists with 0.
 func TestUsage(t *testing.T) {
 	bad := write(t, "for = \"-3s\"\n")
+	all := write(t, "version = 3\nattempts.most = 4\n")
 	for _, c := range []struct {
 		args string
 		code int
@@ -50,6 +51,10 @@
 		{"lab run calm --agent-bin /nowhere", exitUsage, "/nowhere is no program"},
 		{"lab compare calm --a /nowhere --seeds 5-1", exitUsage, `"5-1" is neither`},
 		{"lab trace /dev/null 12", exitUsage, "holds no request 12"},
+		{"config check", exitUsage, "name a FILE"},
+		{"config check --settings " + bad, exitUsage, bad + ":1: for: unknown key"},
+		{"config check --settings " + all, 0, all + ": version 3 can be used"},
+		{"config check --settings " + all + " --with " + bad, exitUsage, bad + ":1: for: unknown key"},
 		{"config check " + bad, exitUsage, bad + ":1: for: unknown key"},
 		{"agent --config " + bad, exitUsage, bad + ":1: for: unknown key"},
 		{"agent --log-level loud", exitUsage, "--log-level"},
