--- a/internal/fleet/texts/texts.go
+++ b/internal/fleet/texts/texts.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -61,6 +62,8 @@
 	State   func() Standing
 	Digest  func(text string) string
 	Confirm func(version int64, digest string, age time.Duration) // that a source still held it so long ago; nil: it never grows stale
+	Wants   func(version int64, digest string) bool               // of what is not in force, whether to ask for it; nil: always
+	Spread  time.Duration                                         // full jitter before it is asked for: many may hear of it at once
 
 	mu    sync.Mutex
 	asked map[string]time.Time // by digest
@@ -85,7 +88,7 @@
 			if k.Confirm != nil {
 				k.Confirm(s.Version, digest, w.Age)
 			}
-		case k.due(digest):
+		case (k.Wants == nil || k.Wants(s.Version, digest)) && k.due(digest):
 			go k.fetch(ctx, digest, s.Version, ask())
 		}
 	}
@@ -95,7 +98,7 @@
 func (k *Kind) due(digest string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if at, asked := k.asked[digest]; asked && time.Since(at) <= fetchAgain {
+	if at, asked := k.asked[digest]; asked && time.Since(at) <= fetchAgain+k.Spread {
 		return false
 	}
 	if k.asked == nil || len(k.asked) >= mostAsked {
@@ -108,6 +111,13 @@
 // fetch asks a few processes for a text, its source first. A text that nobody can hand out, though a source tells of it, is
 // not in force anywhere yet that was heard here.
 func (k *Kind) fetch(ctx context.Context, digest string, version int64, ask Asked) {
+	if k.Spread > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rand.N(k.Spread)):
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
 	defer cancel()
 	for _, addr := range ask.Addrs {
