--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,11 +7,13 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -25,6 +27,7 @@
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/member"
 	"brookferry/internal/fleet/start"
+	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
 )
 
@@ -45,6 +48,13 @@
 
 	Residency *residency.Holder // nil: none
 	Source    bool              // of the residency policy
+	Settings  *texts.Kind       // that this process holds for others; nil: none
+
+	Hub   bool         // this process is a hub, and no agent
+	Calls http.Handler // of HTTP on the fleet's address, but for texts and lists; nil: none
+
+	Door  *net.TCPListener // at Listen, if it is held already: the fleet closes it
+	Since time.Time        // when this process began; zero: now
 }
 
 // Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
@@ -66,6 +76,7 @@
 	turn   chan struct{} // who is there has changed, at most one waiting
 	born   time.Time
 	gossip atomic.Int64 // bytes
+	texts  []shared
 
 	mu      sync.Mutex
 	met     time.Time // when anyone was first met
@@ -77,7 +88,6 @@
 	changes uint64
 	made    int
 	ready   bool
-	fetched map[string]time.Time // policies asked for, by digest
 }
 
 // New listens. zones are the sites, in the order in which the module counts them.
@@ -95,12 +105,15 @@
 	if cfg.Bounds == nil {
 		cfg.Bounds = fact.DefaultBounds
 	}
-	f := &Fleet{cfg: cfg, told: told, zones: zones, turn: make(chan struct{}, 1), born: time.Now(), part: -1, fetched: map[string]time.Time{}}
+	if cfg.Calls == nil {
+		cfg.Calls = http.NotFoundHandler()
+	}
+	f := &Fleet{cfg: cfg, texts: cfg.shared(), told: told, zones: zones, turn: make(chan struct{}, 1), born: cmp.Or(cfg.Since, time.Now()), part: -1}
 	incarnation := uint64(time.Now().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
 	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
 	f.relay = newRelay(f)
-	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await,
-		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation}, Log: cfg.Log,
+	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await, Door: cfg.Door,
+		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation, Hub: cfg.Hub}, Log: cfg.Log,
 		Hear: func(data []byte) {
 			if err := f.facts.Hear(data); err != nil {
 				cfg.Log.Debug("a message of the fleet makes no sense", "error", err)
@@ -144,8 +157,8 @@
 	if f.cfg.Matrix {
 		tasks.Go(func() { f.prober.Run(ctx) })
 	}
-	if f.cfg.Residency != nil {
-		tasks.Go(func() { f.shareResidency(ctx) })
+	if len(f.texts) > 0 {
+		tasks.Go(func() { f.shareTexts(ctx) })
 	}
 	err := f.list.Run(ctx)
 	if ctx.Err() == nil && err == nil { // it left for another with its name
@@ -269,7 +282,7 @@
 		for _, name := range names {
 			if name == f.cfg.Name {
 				me = true
-			} else if _, alive := view.Named(name); !alive {
+			} else if _, alive := view.Named(name); !alive && !f.list.WasHub(name) {
 				gone[name] = true
 			}
 		}
@@ -282,7 +295,7 @@
 	sure := now.Sub(f.born) >= f.cfg.Bounds[fact.Gone] || !f.met.IsZero() && now.Sub(f.met) >= metFor && !me
 	part := thin / float64(f.cfg.Most)
 	if sure {
-		part = 1 / float64(max(1, view.Len(), f.cfg.Most-len(gone)))
+		part = 1 / float64(max(1, view.Agents(), f.cfg.Most-len(gone)))
 	}
 	same := part == f.part
 	f.part = part
@@ -315,7 +328,7 @@
 		calls.Wait()
 		var names []string
 		for i, m := range doomed {
-			if dead[i] {
+			if dead[i] && !m.Hub { // a hub has no part that others could use
 				names = append(names, m.Name)
 			}
 		}
@@ -345,29 +358,9 @@
 
 // traceUse writes a fact's use, or that it was told, with the time on the wall: for who checks ages from outside.
 func (f *Fleet) traceUse(u fact.Use) {
-	if f.cfg.Trace == nil {
-		return
-	}
-	what := "use"
-	if u.Told {
-		what = "tell"
-	}
-	f.trace(map[string]any{"what": what, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
-		"incarnation": u.Incarnation, "seq": u.Seq, "age": u.Now.Microseconds()})
+	fact.Trace{W: f.cfg.Trace}.Use(u)
 }
 
-var traces sync.Mutex
-
 func (f *Fleet) trace(line map[string]any) {
-	if f.cfg.Trace == nil {
-		return
-	}
-	line["at"] = time.Now().UnixMicro()
-	data, err := json.Marshal(line)
-	if err != nil {
-		panic(err) // it holds names and numbers alone
-	}
-	traces.Lock()
-	defer traces.Unlock()
-	_, _ = f.cfg.Trace.Write(append(data, '\n'))
+	fact.Trace{W: f.cfg.Trace}.Line(line)
 }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -37,8 +37,9 @@
 type Meta struct {
 	Site    string `cbor:"1,keyasint"` // its zone
 	Phase   Phase  `cbor:"2,keyasint"`
-	Version string `cbor:"3,keyasint"` // of the program
-	Started uint64 `cbor:"4,keyasint"` // which process of the name it is
+	Version string `cbor:"3,keyasint"`           // of the program
+	Started uint64 `cbor:"4,keyasint"`           // which process of the name it is
+	Hub     bool   `cbor:"5,keyasint,omitempty"` // it serves agents, and is none itself: no part of the limit is its own
 }
 
 // Member is one of the fleet, as known here.
@@ -67,6 +68,8 @@
 	Turn   func()                             // who is there has changed; must not wait
 	Probe  func(data []byte, from netip.AddrPort, at time.Time)
 	Call   func(net.Conn) // an HTTP call
+
+	Door *net.TCPListener // at Listen, if it is held already: the list closes it
 }
 
 // Facts of one packet. A memberlist packet holds more; less keeps a lossy way whole.
@@ -94,6 +97,7 @@
 // New listens. It says nothing before Run.
 func New(cfg Config) (*List, error) {
 	t := newTransport(cfg.Listen, cfg.Advertise)
+	t.tcp = cfg.Door
 	if err := t.bind(); err != nil && !(cfg.Await && errors.Is(err, syscall.EADDRINUSE)) {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -18,7 +18,8 @@
 	// First bytes that tell others' words from the membership's on the same address: its messages begin with small
 	// numbers or, labelled, with 244.
 	ProbeByte = 0xd7 // a datagram of round trips
-	callByte  = 'G'  // a stream that is an HTTP call
+	getByte   = 'G'  // a stream that is an HTTP call
+	postByte  = 'P'  // the same
 
 	mostDatagram = 64 << 10
 	mostUnread   = 64              // streams of which the first byte has not come yet
@@ -59,8 +60,10 @@
 // bind opens the sockets.
 func (t *transport) bind() error {
 	var err error
-	if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(t.listen)); err != nil {
-		return err
+	if t.tcp == nil {
+		if t.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(t.listen)); err != nil {
+			return err
+		}
 	}
 	at := t.listen
 	if at.Port() == 0 {
@@ -68,6 +71,7 @@
 	}
 	if t.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
 		t.tcp.Close()
+		t.tcp = nil
 		return err
 	}
 	_ = t.udp.SetReadBuffer(socketBuffer) // as large as the system allows
@@ -168,7 +172,7 @@
 		return
 	}
 	s := &sorted{c, r}
-	if first[0] == callByte {
+	if first[0] == getByte || first[0] == postByte {
 		if t.call == nil {
 			c.Close()
 			return
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -33,6 +33,7 @@
 	Members
 	sites    []string
 	bySite   map[string]Members
+	hubs     Members
 	starting int
 }
 
@@ -51,7 +52,10 @@
 	v, bySite := &View{Members: Members{order}}, map[string][]*Member{}
 	for _, m := range order {
 		bySite[m.Site] = append(bySite[m.Site], m)
-		if m.Phase == Starting {
+		switch {
+		case m.Hub:
+			v.hubs.list = append(v.hubs.list, m)
+		case m.Phase == Starting:
 			v.starting++
 		}
 	}
@@ -85,7 +89,11 @@
 // Of are the members of a site.
 func (v *View) Of(site string) Members { return v.bySite[site] }
 
-// Starting counts those that have no list yet.
+// Hubs are the members that are hubs; Agents counts the others.
+func (v *View) Hubs() iter.Seq[Member] { return v.hubs.All() }
+func (v *View) Agents() int            { return v.Len() - v.hubs.Len() }
+
+// Starting counts the agents that have no list yet.
 func (v *View) Starting() int { return v.starting }
 
 func byName(a, b *Member) int { return cmp.Compare(a.Name, b.Name) }
