Measure what an idle flat fleet costs its agents, on hollow agents in one process

What an agent of a fleet costs others and itself was known at lab sizes only. internal/scale/hollow runs the product's own code of what agents share over real sockets of loopback, without clients and backends; internal/scale measures processor time, bytes, messages, memory and tasks of each, by part, and fits how they grow. A run on which timers are late or the processor is saturated is void.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,7 @@
 
 	Residency *residency.Holder // nil: none
 	Source    bool              // of the residency policy
+	Wire      member.Wire       // nil: sockets are used as they are
 }
 
 // Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
@@ -117,6 +118,7 @@
 		},
 		Probe: func(data []byte, from netip.AddrPort, at time.Time) { f.prober.Heard(data, from, at) },
 		Call:  f.relay.serve,
+		Wire:  cfg.Wire,
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/fleet/known.go
@@ -0,0 +1,12 @@
+package fleet
+
+import "brookferry/internal/fleet/member"
+
+// Members are those that are there, this one included, by name.
+func (f *Fleet) Members() []member.Member { return f.list.Alive() }
+
+// Count is how many members are there, at the cost of none of them.
+func (f *Fleet) Count() int { return f.list.Count() }
+
+// Abort closes the fleet's sockets without a goodbye, as a kill would. Run still has to be ended.
+func (f *Fleet) Abort() error { return f.list.Abort() }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -66,6 +66,7 @@
 	Turn   func()                             // who is there has changed; must not wait
 	Probe  func(data []byte, from netip.AddrPort, at time.Time)
 	Call   func(net.Conn) // an HTTP call
+	Wire   Wire           // nil: sockets are used as they are
 }
 
 // Facts of one packet. A memberlist packet holds more; less keeps a lossy way whole.
@@ -93,7 +94,7 @@
 	if err := t.bind(); err != nil && !(cfg.Await && errors.Is(err, syscall.EADDRINUSE)) {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
-	t.probe, t.call = cfg.Probe, cfg.Call
+	t.probe, t.call, t.wire = cfg.Probe, cfg.Call, cfg.Wire
 	return &List{cfg: cfg, t: t, members: map[string]Member{}, dead: map[string]Member{}, phase: cfg.Meta.Phase, leave: make(chan struct{})}, nil
 }
 
@@ -107,7 +108,7 @@
 
 // Dial opens a stream to another member.
 func (l *List) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	return l.t.dialer.DialContext(ctx, "tcp", addr)
+	return l.t.dial(ctx, &l.t.dialer, addr)
 }
 
 // settings scale with the fleet: a larger one probes no more for each member, and gives doubts more time.
@@ -211,6 +212,16 @@
 	return m
 }
 
+// Count is how many members are there, this one included.
+func (l *List) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, self := l.members[l.cfg.Name]; !self {
+		return len(l.members) + 1
+	}
+	return len(l.members)
+}
+
 // Met is how many others this process has ever met.
 func (l *List) Met() int {
 	l.mu.Lock()
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -26,6 +26,14 @@
 	socketBuffer = 1 << 20
 )
 
+// Wire stands between a member and its sockets, for who counts what passes there, or has it lost. Its methods may wait.
+type Wire interface {
+	// Packet reports whether a datagram passes.
+	Packet(data []byte, peer netip.AddrPort, out bool) bool
+	Dial(ctx context.Context, d *net.Dialer, addr string) (net.Conn, error)
+	Accepted(c net.Conn) net.Conn
+}
+
 // transport carries the membership's packets and streams over one address, UDP and TCP, and hands out what is not its.
 // Each connection that comes in is one task until it is known whose it is.
 type transport struct {
@@ -39,6 +47,7 @@
 	streams   chan net.Conn
 	probe     func(data []byte, from netip.AddrPort, at time.Time) // runs on the reading task; may be nil
 	call      func(net.Conn)                                       // takes the stream; may be nil
+	wire      Wire                                                 // may be nil
 	unread    chan struct{}
 	tasks     sync.WaitGroup
 	ctx       context.Context
@@ -116,6 +125,9 @@
 			continue // an earlier datagram's ICMP error; the socket itself is fine
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if t.wire != nil && !t.wire.Packet(buf[:n], from, false) {
+			continue
+		}
 		if buf[0] == ProbeByte {
 			if t.probe != nil {
 				t.probe(buf[:n], from, at)
@@ -149,15 +161,30 @@
 		}
 		select {
 		case t.unread <- struct{}{}:
-			t.tasks.Go(func() { t.sort(c) })
+			t.tasks.Go(func() { t.sort(t.accepted(c)) })
 		default:
 			c.Close()
 		}
 	}
 }
 
+func (t *transport) accepted(c net.Conn) net.Conn {
+	if t.wire == nil {
+		return c
+	}
+	return t.wire.Accepted(c)
+}
+
+// dial opens a stream to another member.
+func (t *transport) dial(ctx context.Context, d *net.Dialer, addr string) (net.Conn, error) {
+	if t.wire == nil {
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	return t.wire.Dial(ctx, d, addr)
+}
+
 // sort finds out whose a stream is.
-func (t *transport) sort(c *net.TCPConn) {
+func (t *transport) sort(c net.Conn) {
 	defer func() { <-t.unread }()
 	stop := context.AfterFunc(t.ctx, func() { c.Close() })
 	r := bufio.NewReaderSize(c, 512)
@@ -204,6 +231,9 @@
 		return time.Time{}, err
 	}
 	at := time.Now()
+	if t.wire != nil && !t.wire.Packet(b, to, true) {
+		return at, nil
+	}
 	_, err = t.udp.WriteToUDPAddrPort(b, to)
 	return at, err
 }
@@ -214,7 +244,7 @@
 func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
 	d := t.dialer
 	d.Timeout = timeout
-	return d.DialContext(t.ctx, "tcp", addr)
+	return t.dial(t.ctx, &d, addr)
 }
 
 func (t *transport) Shutdown() error {
--- /dev/null
+++ b/internal/scale/measure_test.go
@@ -0,0 +1,209 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/pprof/profile"
+
+	"brookferry/internal/scale/hollow"
+)
+
+// processor is the time that this process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err) // its arguments are constants
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// resident is this process's resident memory, bytes.
+func resident() float64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(fields[1], 64) // 0 if it is odd
+	return pages * float64(os.Getpagesize())
+}
+
+// lateness finds out whether the machine bears a run: how late a task comes that is due each 10 ms.
+type lateness struct {
+	end  chan struct{}
+	done sync.WaitGroup
+	late []time.Duration
+}
+
+const beatEvery = 10 * time.Millisecond
+
+func watchLateness() *lateness {
+	l := &lateness{end: make(chan struct{})}
+	l.done.Go(func() {
+		for due := time.Now().Add(beatEvery); ; {
+			select {
+			case <-l.end:
+				return
+			case <-time.After(time.Until(due)):
+			}
+			now := time.Now()
+			l.late = append(l.late, now.Sub(due))
+			due = now.Add(beatEvery)
+		}
+	})
+	return l
+}
+
+// stop ends it, and returns the 99th percentile and the longest.
+func (l *lateness) stop() (p99, most time.Duration) {
+	close(l.end)
+	l.done.Wait()
+	return quantile(l.late, 0.99), quantile(l.late, 1)
+}
+
+func quantile(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(list))
+	return s[int(math.Ceil(q*float64(len(s)-1)))]
+}
+
+// What the machine must do for a run to count.
+const (
+	mostLate = 20 * time.Millisecond // of 99 in a hundred beats
+	mostBusy = 0.85                  // of all cores
+)
+
+// span is one measured span of a fleet, whole, to be divided by who asks.
+type span struct {
+	took      time.Duration
+	processor time.Duration
+	traffic   hollow.Traffic
+	parts     map[string]time.Duration // processor time by part; nil: no profile
+	late      time.Duration            // p99
+	lateMost  time.Duration
+	void      string
+}
+
+// meter measures a span.
+type meter struct {
+	c       *crew
+	began   time.Time
+	cpu     time.Duration
+	traffic hollow.Traffic
+	late    *lateness
+	profile *bytes.Buffer
+}
+
+// measure begins a span. One profile at most is taken at a time.
+func (c *crew) measure(profiled bool) *meter {
+	m := &meter{c: c, late: watchLateness(), traffic: c.traffic()}
+	if profiled {
+		m.profile = &bytes.Buffer{}
+		if err := pprof.StartCPUProfile(m.profile); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	m.began, m.cpu = time.Now(), processor()
+	return m
+}
+
+func (m *meter) end() span {
+	s := span{took: time.Since(m.began), processor: processor() - m.cpu}
+	now := m.c.traffic()
+	for p := range now.In {
+		s.traffic.In[p] = hollow.Count{Bytes: now.In[p].Bytes - m.traffic.In[p].Bytes, Messages: now.In[p].Messages - m.traffic.In[p].Messages}
+		s.traffic.Out[p] = hollow.Count{Bytes: now.Out[p].Bytes - m.traffic.Out[p].Bytes, Messages: now.Out[p].Messages - m.traffic.Out[p].Messages}
+	}
+	s.late, s.lateMost = m.late.stop()
+	if m.profile != nil {
+		pprof.StopCPUProfile()
+		var err error
+		if s.parts, err = byPart(m.profile); err != nil {
+			m.c.t.Fatal(err)
+		}
+	}
+	busy := s.processor.Seconds() / s.took.Seconds() / float64(runtime.NumCPU())
+	switch {
+	case busy > mostBusy:
+		s.void = fmt.Sprintf("processor %.0f%% busy", 100*busy)
+	case s.late > mostLate:
+		s.void = fmt.Sprintf("timers late: p99 %v", s.late.Round(time.Millisecond))
+	}
+	return s
+}
+
+// memory is heap in use and resident memory after a collection, bytes.
+func memory() (heap, rss float64) {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc), resident()
+}
+
+// rules tell by a function on the stack whose a sample is, the first that matches anywhere.
+var rules = []struct {
+	part string
+	in   []string
+}{
+	{"harness", []string{"internal/scale.", "net/http.(*conn).serve;internal/scale"}},
+	{"distances", []string{"internal/fleet/distance.", "fleet.(*Fleet).measure"}},
+	{"list", []string{"internal/fleet.(*relay).ServeHTTP", "internal/agent/discovery.", "internal/fleet/start.", "fleet.(*Fleet).Next", "fleet.(*Fleet).Listed"}},
+	{"policy", []string{"fleet.(*Fleet).shareResidency", "fleet.(*Fleet).fetchPolicy", "fleet.(*Fleet).getPolicy", "internal/fleet.(*relay).policy", "internal/residency."}},
+	{"facts", []string{"internal/fleet/fact."}},
+	{"parts", []string{"fleet.(*Fleet).reckon", "fleet.(*Fleet).bury", "fleet.(*Fleet).summarize", "fleet.(*Fleet).tick"}},
+	{"members", []string{"hashicorp/memberlist", "internal/fleet/member."}},
+	{"streams", []string{"net/http."}},
+	{"collector", []string{"runtime.gcBgMarkWorker", "runtime.bgsweep", "runtime.bgscavenge", "runtime.gcStart"}},
+}
+
+// partOf names the part of a stack. What no rule knows is the runtime's: its scheduler and its timers.
+func partOf(stack []string) string {
+	for _, r := range rules {
+		for _, f := range stack {
+			for _, in := range r.in {
+				if strings.Contains(f, in) {
+					return r.part
+				}
+			}
+		}
+	}
+	return "runtime"
+}
+
+// byPart attributes a processor profile.
+func byPart(data *bytes.Buffer) (map[string]time.Duration, error) {
+	p, err := profile.Parse(data)
+	if err != nil {
+		return nil, err
+	}
+	parts := map[string]time.Duration{}
+	for _, s := range p.Sample {
+		var stack []string
+		for _, l := range s.Location {
+			for _, line := range l.Line {
+				if line.Function != nil {
+					stack = append(stack, line.Function.Name)
+				}
+			}
+		}
+		parts[partOf(stack)] += time.Duration(s.Value[len(s.Value)-1])
+	}
+	return parts, nil
+}
--- /dev/null
+++ b/internal/scale/tables_test.go
@@ -0,0 +1,341 @@
+package scale
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"brookferry/internal/scale/hollow"
+)
+
+var (
+	full   = flag.Bool("scale.full", false, "measure at the sizes of scale.sizes, as long as tables need")
+	sizes  = flag.String("scale.sizes", "30,100,300,600", "sizes of the fleets, with scale.full")
+	runs   = flag.Int("scale.runs", 3, "runs at each size, with scale.full")
+	out    = flag.String("scale.out", "", "a JSON file that the rows are added to; beside it the tables, as .md")
+	only   = flag.String("scale.only", "idle", "which tables to make")
+	mode   = flag.String("scale.mode", string(hollow.Flat), "how the agents are joined")
+	matrix = flag.String("scale.matrix", "on,off", "whether round trips are measured, for idle agents")
+	warm   = flag.Duration("scale.warm", 5*time.Second, "left out before an idle agent is measured, with scale.full")
+	window = flag.Duration("scale.window", 5*time.Second, "for which an idle agent is measured, with scale.full")
+)
+
+// sized are the sizes to measure at.
+func sized(t testing.TB, small ...int) (list []int) {
+	if !*full {
+		return small
+	}
+	for _, text := range strings.Split(*sizes, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, n)
+	}
+	return list
+}
+
+func ran() int {
+	if *full {
+		return *runs
+	}
+	return 1
+}
+
+// row is one run of one table. Rates are for each agent and second.
+type row struct {
+	Table  string             `json:"table"` // idle, start or change
+	Mode   string             `json:"mode"`
+	N      int                `json:"n"`
+	Matrix bool               `json:"matrix"`
+	Case   string             `json:"case,omitempty"`
+	Run    int                `json:"run"`
+	Void   string             `json:"void,omitempty"` // why it does not count
+	Values map[string]float64 `json:"values"`
+}
+
+// report is what a file holds.
+type report struct {
+	Cores int            `json:"cores"`
+	Rows  []row          `json:"rows"`
+	Fits  map[string]fit `json:"fits"` // by table, mode, matrix, case and value
+}
+
+// keep adds rows to the file that the flag names, and writes the tables beside it.
+func keep(t testing.TB, rows ...row) {
+	for _, r := range rows {
+		t.Logf("%s %s n=%d matrix=%t %s run %d void=%q %v", r.Table, r.Mode, r.N, r.Matrix, r.Case, r.Run, r.Void, compact(r.Values))
+	}
+	if *out == "" {
+		return
+	}
+	rep := report{Cores: runtime.NumCPU()}
+	if text, err := os.ReadFile(*out); err == nil {
+		if err := json.Unmarshal(text, &rep); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rep.Rows = append(rep.Rows, rows...)
+	rep.Fits = fits(rep.Rows)
+	text, err := json.MarshalIndent(rep, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(*out, append(text, '\n'), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(strings.TrimSuffix(*out, ".json")+".md", []byte(markdown(&rep)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func compact(values map[string]float64) string {
+	var b strings.Builder
+	for _, k := range slices.Sorted(maps.Keys(values)) {
+		fmt.Fprintf(&b, " %s=%s", k, number(values[k]))
+	}
+	return b.String()
+}
+
+func number(x float64) string { return strconv.FormatFloat(x, 'g', 4, 64) }
+
+// group is rows that differ in size and run alone.
+func (r *row) group() string {
+	g := r.Table + " " + r.Mode
+	if r.Matrix {
+		g += ", matrix on"
+	} else {
+		g += ", matrix off"
+	}
+	if r.Case != "" {
+		g += ", " + r.Case
+	}
+	return g
+}
+
+func grouped(rows []row) (names []string, groups map[string][]row) {
+	groups = map[string][]row{}
+	for _, r := range rows {
+		g := r.group()
+		if groups[g] == nil {
+			names = append(names, g)
+		}
+		groups[g] = append(groups[g], r)
+	}
+	slices.Sort(names)
+	return names, groups
+}
+
+// fits fits every value over the runs that count.
+func fits(rows []row) map[string]fit {
+	list := map[string]fit{}
+	names, groups := grouped(rows)
+	for _, g := range names {
+		n, y := map[string][]float64{}, map[string][]float64{}
+		for _, r := range groups[g] {
+			for k, v := range r.Values {
+				if r.Void == "" {
+					n[k], y[k] = append(n[k], float64(r.N)), append(y[k], v)
+				}
+			}
+		}
+		for k := range n {
+			if b, ok := best(n[k], y[k]); ok {
+				list[g+": "+k] = b
+			}
+		}
+	}
+	return list
+}
+
+// markdown is a table for each group: a line a value, a column a size, the median of the runs that count with the least and
+// the most, and the fit.
+func markdown(rep *report) string {
+	var b strings.Builder
+	names, groups := grouped(rep.Rows)
+	for _, g := range names {
+		values, at := map[string]bool{}, map[int]bool{}
+		for _, r := range groups[g] {
+			at[r.N] = true
+			for k := range r.Values {
+				values[k] = true
+			}
+		}
+		columns := slices.Sorted(maps.Keys(at))
+		fmt.Fprintf(&b, "### %s\n\n| each agent |", g)
+		for _, n := range columns {
+			fmt.Fprintf(&b, " %d |", n)
+		}
+		b.WriteString(" grows with | slope ± s.e. | at 1,800 (95%) |\n|---|" + strings.Repeat("---|", len(columns)+3) + "\n")
+		for _, k := range slices.Sorted(maps.Keys(values)) {
+			fmt.Fprintf(&b, "| %s |", k)
+			for _, n := range columns {
+				var list []float64
+				for _, r := range groups[g] {
+					if v, has := r.Values[k]; has && r.N == n && r.Void == "" {
+						list = append(list, v)
+					}
+				}
+				slices.Sort(list)
+				switch len(list) {
+				case 0:
+					b.WriteString(" - |")
+				case 1:
+					fmt.Fprintf(&b, " %s |", number(list[0]))
+				default:
+					fmt.Fprintf(&b, " %s (%s to %s) |", number(list[len(list)/2]), number(list[0]), number(list[len(list)-1]))
+				}
+			}
+			if f, ok := rep.Fits[g+": "+k]; ok {
+				fmt.Fprintf(&b, " %s | %s ± %s | %s (%s to %s) |\n", f.Form, number(f.Slope), number(f.Error), number(f.At1800), number(f.Low), number(f.High))
+			} else {
+				b.WriteString(" | | |\n")
+			}
+		}
+		for _, n := range columns {
+			var why []string
+			count := 0
+			for _, r := range groups[g] {
+				if r.N == n {
+					if count++; r.Void != "" {
+						why = append(why, r.Void)
+					}
+				}
+			}
+			if len(why) > 0 {
+				fmt.Fprintf(&b, "\nVoid at %d: %d of %d runs (%s).\n", n, len(why), count, strings.Join(why, "; "))
+			}
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// TestTables makes the tables. Small, it only shows that they can be made.
+func TestTables(t *testing.T) {
+	for _, table := range strings.Split(*only, ",") {
+		switch table {
+		case "idle":
+			t.Run("idle", idleTable)
+		default:
+			t.Errorf("there is no table %q", table)
+		}
+	}
+}
+
+func idleTable(t *testing.T) {
+	for _, m := range strings.Split(*matrix, ",") {
+		for _, n := range sized(t, 14) {
+			for run := range ran() {
+				t.Run(fmt.Sprintf("%s-%d-%d", m, n, run), func(t *testing.T) { keep(t, idle(t, hollow.Mode(*mode), n, m == "on", run)) })
+			}
+		}
+	}
+}
+
+// idle measures a fleet in which nothing happens.
+func idle(t *testing.T, mode hollow.Mode, n int, matrix bool, run int) row {
+	heap0, rss0 := memory()
+	tasks0 := runtime.NumGoroutine()
+	c := newCrew(t, mode, n, matrix)
+	c.startAll(time.Duration(n) * 5 * time.Millisecond)
+	r := row{Table: "idle", Mode: string(mode), N: n, Matrix: matrix, Run: run}
+	if _, ok, why := c.whole(patience); !ok {
+		r.Void = "not whole: " + why
+		return r
+	}
+	settle, measure := 100*time.Millisecond, 500*time.Millisecond
+	if *full {
+		settle, measure = *warm, *window
+	}
+	time.Sleep(settle) // what a start leaves is not an idle agent's
+	m := c.measure(true)
+	time.Sleep(measure) // the span that is measured
+	s := m.end()
+	tasks := runtime.NumGoroutine()
+	heap, rss := memory()
+	r.Void, r.Values = s.void, map[string]float64{}
+	each := float64(n) * s.took.Seconds()
+	v := r.Values
+	profiled := 0.
+	for _, d := range s.parts {
+		profiled += d.Seconds()
+	}
+	// The list service's and the harness's own share is not the agents'.
+	cpu := s.processor.Seconds()
+	if profiled > 0 {
+		for part, d := range s.parts {
+			v["processor us/s, "+part] = cpu * d.Seconds() / profiled * 1e6 / each
+		}
+		cpu *= 1 - s.parts["harness"].Seconds()/profiled
+	}
+	v["processor us/s"] = cpu * 1e6 / each
+	for _, p := range hollow.Parts {
+		v["bytes/s in"] += float64(s.traffic.In[p].Bytes) / each
+		v["bytes/s out"] += float64(s.traffic.Out[p].Bytes) / each
+		v["messages/s in"] += float64(s.traffic.In[p].Messages) / each
+		v["messages/s out"] += float64(s.traffic.Out[p].Messages) / each
+		v["bytes/s out, "+p.String()] = float64(s.traffic.Out[p].Bytes) / each
+	}
+	v["heap kB"] = (heap - heap0) / 1e3 / float64(n)
+	v["resident kB"] = (rss - rss0) / 1e3 / float64(n)
+	v["goroutines"] = float64(tasks-tasks0) / float64(n)
+	v["timers late ms p99"] = s.late.Seconds() * 1e3
+	return r
+}
+
+// told is an agent that says what it knows.
+type told hollow.State
+
+func (s told) State() hollow.State { return hollow.State(s) }
+
+// The check that all know all finds an agent that tells an old version, or lacks anything else.
+func TestLaggards(t *testing.T) {
+	want := hollow.State{Members: 3, Part: 1. / 3, Distances: 7, Policy: 2, List: 42}
+	if n, why := laggards([]told{told(want), told(want)}, want); n != 0 {
+		t.Errorf("%d lag: %s", n, why)
+	}
+	for name, spoil := range map[string]func(*hollow.State){
+		"policy 1, not 2":             func(s *hollow.State) { s.Policy = 1 },
+		"list 41, not 42":             func(s *hollow.State) { s.List = 41 },
+		"2 members of 3":              func(s *hollow.State) { s.Members = 2 },
+		"4 members of 3":              func(s *hollow.State) { s.Members = 4 },
+		"a part of 0.1, not 0.3333":   func(s *hollow.State) { s.Part = 0.1 },
+		"round trips to 6 zones of 7": func(s *hollow.State) { s.Distances = 6 },
+		"settings 1, not 0":           func(s *hollow.State) { s.Settings = 1 },
+	} {
+		old := want
+		spoil(&old)
+		if n, why := laggards([]told{told(want), told(old)}, want); n != 1 || !strings.HasPrefix(why, "agent 1: "+name) {
+			t.Errorf("%s: %d lag: %q", name, n, why)
+		}
+	}
+}
+
+// A stack is attributed to what asked for the work, not to who does it in the end.
+func TestPartOf(t *testing.T) {
+	const p = "brookferry/internal/"
+	for want, stack := range map[string][]string{
+		"facts":     {"github.com/fxamacker/cbor/v2.Marshal", p + "fleet/fact.Encode", p + "fleet/fact.(*Store).Gossip", "github.com/hashicorp/memberlist.(*Memberlist).gossip"},
+		"distances": {"runtime.mallocgc", p + "fleet/member.(*List).Alive", p + "fleet.(*Fleet).measure", p + "fleet.(*Fleet).tick"},
+		"members":   {"syscall.Syscall6", p + "fleet/member.(*transport).WriteTo", "github.com/hashicorp/memberlist.(*Memberlist).probe"},
+		"policy":    {p + "fleet/fact.(*Store).Now", p + "fleet.(*Fleet).shareResidency"},
+		"list":      {"net/http.(*response).Write", p + "fleet.(*relay).ServeHTTP", "net/http.(*conn).serve"},
+		"harness":   {"net/http.(*response).Write", p + "scale.(*service).ServeHTTP", "net/http.(*conn).serve"},
+		"parts":     {p + "fleet/member.(*List).Alive", p + "fleet.(*Fleet).reckon", p + "fleet.(*Fleet).tick"},
+		"collector": {"runtime.scanobject", "runtime.gcBgMarkWorker"},
+		"runtime":   {"runtime.findRunnable", "runtime.schedule"},
+	} {
+		if got := partOf(stack); got != want {
+			t.Errorf("%v: %s, want %s", stack, got, want)
+		}
+	}
+}
