--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,7 @@
 
 	Door  *net.TCPListener // at Listen, if it is held already: the fleet closes it
 	Since time.Time        // when this process began; zero: now
+	Wire  member.Wire      // nil: sockets are used as they are
 }
 
 // Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
@@ -133,6 +134,7 @@
 		},
 		Probe: func(data []byte, from netip.AddrPort, at time.Time) { f.prober.Heard(data, from, at) },
 		Call:  f.relay.serve,
+		Wire:  cfg.Wire,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -70,6 +70,7 @@
 	Call   func(net.Conn) // an HTTP call
 
 	Door *net.TCPListener // at Listen, if it is held already: the list closes it
+	Wire Wire             // nil: sockets are used as they are
 }
 
 // Facts of one packet. A memberlist packet holds more; less keeps a lossy way whole.
@@ -101,7 +102,7 @@
 	if err := t.bind(); err != nil && !(cfg.Await && errors.Is(err, syscall.EADDRINUSE)) {
 		return nil, fmt.Errorf("fleet.listen: %w", err)
 	}
-	t.probe, t.call = cfg.Probe, cfg.Call
+	t.probe, t.call, t.wire = cfg.Probe, cfg.Call, cfg.Wire
 	return &List{cfg: cfg, t: t, order: []*Member{{Name: cfg.Name, Addr: t.advertise, Meta: cfg.Meta}}, dead: map[string]Member{}, phase: cfg.Meta.Phase,
 		leave: make(chan struct{})}, nil
 }
@@ -116,7 +117,7 @@
 
 // Dial opens a stream to another member.
 func (l *List) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	return l.t.dialer.DialContext(ctx, "tcp", addr)
+	return l.t.dial(ctx, &l.t.dialer, addr)
 }
 
 // settings scale with the fleet: a larger one probes no more for each member, and gives doubts more time.
@@ -226,6 +227,13 @@
 	l.view = nil
 }
 
+// Count is how many members are there, this one included.
+func (l *List) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.order)
+}
+
 // Met is how many others this process has ever met.
 func (l *List) Met() int {
 	l.mu.Lock()
