--- a/cmd/martenbeam/agent.go
+++ b/cmd/martenbeam/agent.go
@@ -14,13 +14,18 @@
 )
 
 type agentCmd struct {
-	Config    string `help:"Configuration, a TOML file (see config print). Default: what the platform's PROXY_ variables say." env:"MARTENBEAM_CONFIG" placeholder:"FILE"`
+	Config string `help:"Configuration, a TOML file (see config print). Default: what the platform's PROXY_ variables say." env:"MARTENBEAM_CONFIG" placeholder:"FILE"`
+	logFlags
+}
+
+// logFlags say how a process logs.
+type logFlags struct {
 	LogLevel  string `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
 	LogFormat string `help:"Form of the log: text or json." enum:"text,json" default:"text"`
 }
 
 // logger writes to w as the flags say.
-func (c *agentCmd) logger(w io.Writer) *slog.Logger {
+func (c *logFlags) logger(w io.Writer) *slog.Logger {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		panic(err) // the flag takes no other word
@@ -63,14 +68,18 @@
 
 	Settings string `help:"Check settings of all agents instead (docs/settings.md)." placeholder:"FILE"`
 	With     string `help:"The agent's file over which the settings are laid." placeholder:"FILE"`
+	Hub      string `help:"Check a hub's configuration instead (docs/hub.md)." placeholder:"FILE"`
 }
 
 func (c *checkCmd) Run(o *output) error {
+	if c.Hub != "" {
+		return c.hub(o)
+	}
 	if c.Settings != "" {
 		return c.settings(o)
 	}
 	if c.File == "" || c.With != "" {
-		return usageError{errors.New("name a FILE, or settings with --settings FILE [--with FILE]")}
+		return usageError{errors.New("name a FILE, settings with --settings FILE [--with FILE], or a hub's with --hub FILE")}
 	}
 	if _, err := config.Read(c.File); err != nil {
 		return usageError{err}
@@ -95,9 +104,23 @@
 	return nil
 }
 
-type printCmd struct{}
+func (c *checkCmd) hub(o *output) error {
+	if _, err := config.ReadHub(c.Hub); err != nil {
+		return usageError{err}
+	}
+	fmt.Fprintln(o.stdout, c.Hub+": can be used")
+	return nil
+}
+
+type printCmd struct {
+	Hub bool `help:"Of a hub's configuration."`
+}
 
-func (printCmd) Run(o *output) error {
-	_, err := io.WriteString(o.stdout, config.Default)
+func (c *printCmd) Run(o *output) error {
+	text := config.Default
+	if c.Hub {
+		text = config.DefaultHub
+	}
+	_, err := io.WriteString(o.stdout, text)
 	return err
 }
--- /dev/null
+++ b/cmd/martenbeam/hub.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"brookferry/internal/config"
+	"brookferry/internal/hubd"
+	"brookferry/internal/together"
+)
+
+type hubCmd struct {
+	Config string `help:"Configuration, a TOML file (see config print --hub)." required:"" placeholder:"FILE"`
+	logFlags
+}
+
+// Run is a hub until the process is told to end. Files that the configuration names are followed; nothing else is read again.
+func (c *hubCmd) Run(o *output) error {
+	cfg, err := config.ReadHub(c.Config)
+	if err != nil {
+		return usageError{err}
+	}
+	signal.Ignore(syscall.SIGHUP)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	h, err := hubd.New(cfg, together.Version(), c.logger(o.stderr))
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
--- a/cmd/martenbeam/main.go
+++ b/cmd/martenbeam/main.go
@@ -32,7 +32,8 @@
 	Up     upCmd     `cmd:"" help:"Start a whole fleet on this machine and watch it: agents, backends, discovery and clients."`
 	Lab    labCmd    `cmd:"" help:"Play scenarios with faults on a fleet of real processes, and compare versions."`
 	Agent  agentCmd  `cmd:"" help:"Run one agent."`
-	Config configCmd `cmd:"" help:"Check an agent's configuration, or print the defaults."`
+	Hub    hubCmd    `cmd:"" help:"Run one hub, which agents attach to (docs/hub.md)."`
+	Config configCmd `cmd:"" help:"Check a configuration, or print the defaults."`
 }
 
 const about = `A client-side load balancer and the tools to see it at work.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -179,16 +179,7 @@
 }
 
 func (c *Config) address(key, value string, needed bool) error {
-	if value == "" {
-		if needed {
-			return c.wrong(key, "is needed: an IP address and port, such as \"127.0.0.1:8500\"")
-		}
-		return nil
-	}
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		return c.wrong(key, "%q is no IP address and port, such as \"127.0.0.1:8500\"", value)
-	}
-	return nil
+	return addressKey{key, value, needed}.check(c.wrong)
 }
 
 func (c *Config) check() error {
--- a/internal/fleet/hub/behind.go
+++ b/internal/fleet/hub/behind.go
@@ -48,9 +48,9 @@
 	return st
 }
 
-// has reports whether an agent that stands so has the settings.
+// has reports whether an agent that stands so has the settings. Of several texts that have one version the first is in force.
 func has(st texts.Standing, a frame.Standing) bool {
-	return a.Version > st.Version || a.Version == st.Version && (len(st.Digests) == 0 || slices.Contains(st.Digests, a.Digest))
+	return a.Version > st.Version || a.Version == st.Version && (len(st.Digests) == 0 || a.Digest == st.Digests[0])
 }
 
 // here is the report on this hub's agents, and on those that are lost and were not found dead.
--- a/internal/fleet/hub/server.go
+++ b/internal/fleet/hub/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -26,7 +27,6 @@
 	Dead(ctx context.Context, m member.Member, within time.Duration) bool
 	Dial(ctx context.Context, network, addr string) (net.Conn, error)
 	Matrix() distance.Matrix
-	Trace(u fact.Use)
 }
 
 // Config is what a Server needs.
@@ -40,6 +40,7 @@
 	Policy               *texts.Kind // nil: none
 	PolicyAge            func() (age time.Duration, ok bool)
 	Log                  *slog.Logger
+	Trace                io.Writer // a line for each fact told to agents; nil: none
 }
 
 // Server is a hub. It must be run; before, nobody is taken in.
@@ -86,7 +87,7 @@
 }
 
 // Run serves agents until ctx ends, and then closes their streams, so that they move at once.
-func (s *Server) Run(ctx context.Context, f Fleet) error {
+func (s *Server) Run(ctx context.Context, f Fleet) {
 	s.fleet = f
 	ctx, end := context.WithCancel(ctx)
 	defer end()
@@ -105,7 +106,6 @@
 	s.admission.end()
 	s.tasks.Wait()
 	own.Wait()
-	return nil
 }
 
 // ServeHTTP answers what agents and other hubs ask on the hub's fleet address.
--- a/internal/fleet/hub/stream.go
+++ b/internal/fleet/hub/stream.go
@@ -18,7 +18,6 @@
 	writeWithin = 2 * time.Second // one that takes no bytes for so long, too
 	frameRate   = 20.0            // frames a second that are taken from one agent
 	frameBurst  = 40.0
-	mostFacts   = 8 // in an agent's message: it has one to tell
 )
 
 var errNonsense = errors.New("a frame that makes no sense here")
@@ -141,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	if m.Sender != s.name || len(m.Facts) > mostFacts {
+	if m.Sender != s.name {
 		return errNonsense
 	}
 	own := m.Facts[:0]
--- a/internal/fleet/hub/tell.go
+++ b/internal/fleet/hub/tell.go
@@ -40,7 +40,7 @@
 		s.seq++
 		w.Observer, w.Incarnation, w.Seq = s.cfg.Name, s.cfg.Incarnation, firstSeq+s.seq
 		m.Facts = append(m.Facts, w)
-		s.fleet.Trace(fact.Use{Fact: w, Told: true, Now: w.Age})
+		fact.Trace{W: s.cfg.Trace}.Use(fact.Use{Fact: w, Told: true, Now: w.Age})
 	}
 	data, err := fact.Encode(&m)
 	if err == nil {
--- a/internal/fleet/hubs.go
+++ b/internal/fleet/hubs.go
@@ -47,6 +47,3 @@
 func (f *Fleet) Matrix() distance.Matrix {
 	return distance.Make(f.facts.Now(fact.Distance), f.list.Alive())
 }
-
-// Trace writes a use of a fact, or that it was told, for who checks ages from outside.
-func (f *Fleet) Trace(u fact.Use) { f.traceUse(u) }
--- a/internal/together/together.go
+++ b/internal/together/together.go
@@ -92,7 +92,7 @@
 	if z := cfg.Settings.Zone; z >= 0 && z < len(zones) {
 		site = zones[z]
 	}
-	c := fleet.Config{Name: cfg.Name, Site: site, Version: version(), Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Label: f.Label,
+	c := fleet.Config{Name: cfg.Name, Site: site, Version: Version(), Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Label: f.Label,
 		Most: f.Most, Await: cfg.ListenFD > 0, Bounds: bounds, Relayed: f.Lists == "relayed", ListRate: f.ListRate, Matrix: f.Matrix, Log: log,
 		Residency: t.holder, Source: t.file != ""}
 	if t.trace != nil {
@@ -148,8 +148,8 @@
 func (alone) Ready()                                             {}
 func (alone) Behind(int64) bool                                  { return false }
 
-// version is the program's, as the others see it.
-func version() string {
+// Version is the program's, as the others see it.
+func Version() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
 		for _, s := range info.Settings {
 			if s.Key == "vcs.revision" {
