Hand on the list that is recorded between a successor's two first reads

A successor reads the record at its set-up and again at its start. The calls came from the second read, the list and what the module hands on from the first: a list that the older process recorded between them was lost, and until discovery had told it again the successor sent to backends that the older process had been told were gone (18 of 20 requests in the test, and it asked discovery for what follows the older version).

Both are taken from the second read now (inherit, in handover.go). TestWhatIsRecordedBetweenTheFirstReads forces the order with two processes' agents on one listener: for the list it fails without this change, for an operators' call where inherit drops what that read returns (18 of 20). 20 runs under -race pass.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -116,6 +116,12 @@
 
 // startUntil runs an agent that, once stopped, takes connections until accept is closed.
 func startUntil(t *testing.T, cfg *Config, accept <-chan time.Time) *running {
+	t.Helper()
+	return startAfter(t, cfg, accept, func(*running) {})
+}
+
+// startAfter runs an agent once something was done between its set-up and its start.
+func startAfter(t *testing.T, cfg *Config, accept <-chan time.Time, before func(*running)) *running {
 	t.Helper()
 	a, err := New(t.Context(), cfg, quiet)
 	if err != nil {
@@ -128,6 +134,7 @@
 	a.front.body, a.front.gap = 2*patience, 2*patience
 	a.accept = func() <-chan time.Time { return accept }
 	a.stopIn = 2 * patience
+	before(r)
 	go func() { r.done <- a.Run(ctx); close(r.done) }()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -17,7 +17,12 @@
 
 func toLine(t *testing.T, version int64, servers ...member) string {
 	t.Helper()
-	raw, err := json.Marshal(members{Version: version, Servers: servers})
+	return lineOf(t, members{Version: version, Servers: servers})
+}
+
+func lineOf(t *testing.T, list members) string {
+	t.Helper()
+	raw, err := json.Marshal(list)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -359,8 +359,8 @@
 
 // inherit goes on where an earlier process of this agent was, before the loop runs.
 func (a *Agent) inherit() {
-	r := a.handover.known
 	calls, lame := a.handover.look(a.loop.clock)
+	r := a.handover.known // as it stands by now: the older process has gone on recording
 	a.front.setLame(lame)
 	if r.List != nil && r.From == a.cfg.Discovery {
 		a.cfg.Known = r.List // later than the one in the configuration, which is as old as the first process
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -402,3 +402,51 @@
 		t.Errorf("%+v", x)
 	}
 }
+
+// What the older process takes between the two first reads of its successor holds there from its first request on, though
+// discovery tells it nothing: a list, and an operators' call.
+func TestWhatIsRecordedBetweenTheFirstReads(t *testing.T) {
+	for _, call := range []bool{false, true} {
+		t.Run(fmt.Sprint("call ", call), func(t *testing.T) {
+			one, two := serveRaw(t, func(int) string { return ok200 }), serveRaw(t, func(int) string { return ok200 })
+			c, ln, dir := serveCatalog(t), listen(t), t.TempDir()
+			set := setup{discovery: c.addr, servers: []member{one.member("one"), two.member("two")}}
+			older := start(t, upgradable(t, ln, dir, set))
+			older.admin.within = patience
+			watch := receive(t, "watch", c.watch)
+			now := make(chan time.Time)
+			close(now)
+			younger := startAfter(t, upgradable(t, ln, dir, set), now, func(younger *running) { // has read the record once
+				if call {
+					if resp := knock(t, older, put("/_backends/detach", `{"target":"one"}`)); resp.StatusCode != 200 {
+						t.Fatalf("%+v", resp)
+					}
+					return
+				}
+				watch.lines <- lineOf(t, members{Version: 42, Full: true, Servers: []member{two.member("two")}})
+				waitFor(t, "the list in the record", func() bool {
+					h := older.handover
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					return h.known.List != nil && h.known.List.Version == 42
+				})
+			})
+			if w := receive(t, "watch of the younger", c.watch); !call && w.since != "42" {
+				t.Errorf("the younger one asks for what follows %s", w.since)
+			}
+			waitFor(t, "the younger one to take clients", younger.front.taking.Load)
+			older.stop()
+			if err := receive(t, "end of the older one", older.done); err != nil {
+				t.Error(err)
+			}
+			for range 20 {
+				if x := younger.do("GET", "/get/x", ""); x.status != 200 {
+					t.Fatalf("%+v", x)
+				}
+			}
+			if n := len(one.seen); n != 0 {
+				t.Errorf("%d of 20 requests reached a backend that the older process was told to leave", n)
+			}
+		})
+	}
+}
