Force a move of discovery amid drains, in either order of the two lists

No test had a reload while backends drain. TestReloadAmidDrains moves discovery while a connection to a draining backend comes up: the drain is told before the move, between the move and the new whole list, or by 30 words of the old address that were read while the follower took the new list. The new list leaves the backend out, says that it drains, or names it as ready.

--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -1,9 +1,16 @@
 package agent
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
+
+	"brookferry"
 )
 
 // catalog is discovery: it hands each watch to the test, which writes to it line by line.
@@ -16,6 +23,7 @@
 	since string
 	lines chan string // closed: the watch ends
 	fail  chan struct{}
+	gone  chan struct{} // closed with its connection
 }
 
 func serveCatalog(t *testing.T) *catalog {
@@ -26,7 +34,8 @@
 		if r.URL.Path != "/catalog/members" || r.URL.Query().Get("follow") != "1" {
 			t.Errorf("discovery was asked for %s", r.URL)
 		}
-		me := &watcher{since: r.URL.Query().Get("since"), lines: make(chan string), fail: make(chan struct{})}
+		me := &watcher{since: r.URL.Query().Get("since"), lines: make(chan string), fail: make(chan struct{}), gone: make(chan struct{})}
+		defer close(me.gone)
 		c.watch <- me
 		for {
 			select {
@@ -98,3 +107,131 @@
 	w.lines <- toLine(t, 1, s.member("s"))
 	waitFor(t, "health", func() bool { return a.do("GET", "/_health", "").status == 200 })
 }
+
+// say has the watch tell a line.
+func (w *watcher) say(t *testing.T, line string) {
+	t.Helper()
+	select {
+	case w.lines <- line:
+	case <-w.gone:
+		t.Fatal("the watch is gone")
+	}
+}
+
+// watching counts the tasks that read from discovery, and those of them that wait for the follower to take what they read.
+func watching() (all, waiting int) {
+	stacks := make([]byte, 1<<20)
+	for _, task := range bytes.Split(stacks[:runtime.Stack(stacks, true)], []byte("\n\n")) {
+		if bytes.Contains(task, []byte("discovery.(*watch).run")) {
+			all++
+			if head, _, _ := bytes.Cut(task, []byte("\n")); bytes.Contains(head, []byte("[select")) &&
+				!bytes.Contains(task, []byte("(*Client).")) {
+				waiting++
+			}
+		}
+	}
+	return all, waiting
+}
+
+// A new configuration moves discovery while a backend drains by the old list, with a connection to it coming up for a request.
+// Whether the new whole list leaves it out or says that it drains, and whichever list is told first, nothing goes to it any
+// more, and the request goes elsewhere; what the old address said and nobody has taken by then does not count. Named as ready
+// the backend is used again.
+func TestReloadAmidDrains(t *testing.T) {
+	for _, state := range []string{"", "draining", "ready"} { // in the new whole list; "": it is not named
+		for _, order := range []string{"drain, move, list", "move, drain, list", "move, list, old word"} {
+			t.Run(fmt.Sprintf("%q: %s", state, order), func(t *testing.T) {
+				x, y := newHandBackend(t), serveRaw(t, func(int) string { return ok200 })
+				before, after := serveCatalog(t), serveCatalog(t)
+				var dialling, release chan struct{}
+				took, goOn := make(chan int64, 100), make(chan struct{})
+				now := make(chan time.Time)
+				close(now)
+				a := startAfter(t, testConfig(t, setup{discovery: before.addr, servers: []member{x.member("x")}}), now, func(a *running) {
+					dialling, release = slowDial(a.backends)
+					a.discovery.Record = func(_ string, list *members) { // called by the follower, which takes nothing meanwhile
+						if took <- list.Version; order == "move, list, old word" && list.Version == 42 {
+							<-goOn
+						}
+					}
+				})
+				holds := func(state string) bool {
+					a.backends.mu.Lock()
+					defer a.backends.mu.Unlock()
+					at := a.backends.listed["x"]
+					return a.backends.listed["y"] != nil && (at != nil) == (state != "") && (at == nil || at.draining == (state == "draining"))
+				}
+				old := receive(t, "watch", before.watch)
+				old.say(t, toLine(t, 41, x.member("x")))
+				receive(t, "first list", took)
+				answer := make(chan exchange, 1)
+				go func() { answer <- a.do("GET", "/get/x", "") }()
+				receive(t, "dial", dialling)
+				drains, named, list := x.member("x"), x.member("x"), []member{y.member("y")}
+				drains.State, named.State = "draining", state
+				if state != "" {
+					list = append(list, named)
+				}
+				whole := lineOf(t, members{Version: 7, Full: true, Servers: list})
+				drain := func() { // so long that what follows is read at once
+					old.say(t, strings.Repeat(" ", 1<<14)+toLine(t, 42, drains, y.member("y")))
+					receive(t, "drain", took)
+				}
+				move := func() *watcher {
+					a.Follow(after.addr)
+					w := receive(t, "watch at the new address", after.watch)
+					if w.since != "0" {
+						t.Errorf("asks for what follows %s of another discovery", w.since)
+					}
+					return w
+				}
+				switch order {
+				case "drain, move, list":
+					drain()
+					waitFor(t, "the drain", func() bool { return holds("draining") })
+					move().say(t, whole)
+				case "move, drain, list":
+					w := move()
+					drain()
+					waitFor(t, "the drain", func() bool { return holds("draining") })
+					w.say(t, whole)
+				default:
+					w := move()
+					drain()
+					w.say(t, whole)
+					waitFor(t, "the new list to be read", func() bool { _, waiting := watching(); return waiting == 1 })
+					late := ""
+					for v := range int64(30) { // each has an even chance to be told though its watch has been dropped
+						late += toLine(t, 43+v, x.member("x"))
+					}
+					old.say(t, late)
+					waitFor(t, "the old one's words to be read", func() bool { _, waiting := watching(); return waiting == 2 })
+					close(goOn)
+				}
+				receive(t, "end of the old watch", old.gone)
+				waitFor(t, "the end of its task", func() bool { all, _ := watching(); return all <= 1 })
+				close(release)
+				if e := receive(t, "answer", answer); e.status != 200 || len(y.seen) != 1 { // booked after the lists
+					t.Errorf("%+v, %d requests at the other backend", e, len(y.seen))
+				}
+				waitFor(t, "the new list", func() bool { return holds(state) })
+				up := receive(t, "connection", x.conns)
+				if state == "ready" {
+					done := a.backends.startAt("x", &try{at: a.backends.standing("x")})
+					readRequest(t, bufio.NewReader(up))
+					write(t, up, say("again"))
+					receive(t, "result", done).is(t, brookferry.OK, "again")
+					return
+				}
+				for range 10 {
+					if e := a.do("GET", "/get/x", ""); e.status != 200 {
+						t.Fatalf("%+v", e)
+					}
+				}
+				if n, _ := up.Read(make([]byte, 1)); n != 0 || len(x.conns) != 0 {
+					t.Errorf("%d bytes on the connection that came up, %d further ones", n, len(x.conns))
+				}
+			})
+		}
+	}
+}
