Force a SIGTERM while a SIGHUP is carried out

No test had the two together. TestSigtermDuringSighup replaces the configuration by a pipe, which shows when the program reads it; SIGTERM comes then, and another SIGHUP after it.

Fails where Serve waits for the reload before it tells it to end: the program never ends.

--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -185,6 +186,98 @@
 	}
 }
 
+// SIGTERM while a SIGHUP is carried out, which reads a configuration that nobody has written yet, and another SIGHUP after it:
+// the request in flight has its answer meanwhile, and the program ends with status 0 once the configuration is there, whether
+// it can be used or not.
+func TestSigtermDuringSighup(t *testing.T) {
+	for _, usable := range []bool{true, false} {
+		came, hold := make(chan struct{}), make(chan struct{})
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(came)
+			<-hold
+			fmt.Fprint(w, "done")
+		})}
+		go func() { _ = server.Serve(ln) }()
+		defer server.Close()
+		addr := freeAddr(t)
+		text := fmt.Sprintf(config, addr, freeAddr(t), ln.Addr().String())
+		cmd, log := program(t, text)
+		awaitReady(t, addr)
+		answered := make(chan string, 1)
+		go func() {
+			req, _ := http.NewRequest("GET", "http://"+addr+"/get/x", nil)
+			req.Header.Set("X-Trace-Id", "1")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				answered <- err.Error()
+				return
+			}
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			answered <- fmt.Sprint(resp.StatusCode, string(text), err)
+		}()
+		select {
+		case <-came:
+		case <-time.After(patience):
+			t.Fatal("the request did not arrive")
+		}
+		path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "PROXY_CONFIG=")
+		if err := errors.Join(os.Remove(path), syscall.Mkfifo(path, 0o600), cmd.Process.Signal(syscall.SIGHUP)); err != nil {
+			t.Fatal(err)
+		}
+		read := make(chan *os.File, 1)
+		go func() {
+			f, err := os.OpenFile(path, os.O_WRONLY, 0) // waits for the program to read
+			if err != nil {
+				t.Error(err)
+			}
+			read <- f
+		}()
+		var replaced *os.File
+		select {
+		case replaced = <-read:
+		case <-time.After(patience):
+			t.Fatal("the configuration is not read")
+		}
+		if err := errors.Join(os.Remove(path), os.WriteFile(path, []byte(text), 0o600), cmd.Process.Signal(syscall.SIGTERM)); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) { // until it stops
+			resp, err := http.Get("http://" + addr + "/_health")
+			if err == nil {
+				resp.Body.Close()
+			}
+			if err != nil || resp.StatusCode != 200 {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("SIGTERM is not heeded")
+			}
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		close(hold)
+		if got := <-answered; got != "200done<nil>" { // though the configuration is still read
+			t.Errorf("answer %q", got)
+		}
+		if !usable {
+			text = "{no configuration"
+		}
+		if _, err := replaced.WriteString(text); err != nil {
+			t.Error(err)
+		}
+		replaced.Close()
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%v; log %q", err, log)
+		}
+	}
+}
+
 // A process that starts at the address of one that is told to end and still has a request to answer, with discovery down and a
 // list that is known, serves as soon as the address is free; the older one's request has its answer.
 func TestRestartBesideADrainingProcess(t *testing.T) {
