Leave SIGHUP heeded up to the program's end

Serve gave the signal back to the system as it returned: a SIGHUP between that and the process's end ended it with a signal (seen in the test: signal: hangup), which counts as a crash. It stays heeded now. TestSighupInTheLastMoment sends one there; it fails without the change. cmd/vetchhaven passes under -race, five runs of its signal tests, vet is clean; internal/agent's tests, none of which call Serve, were not run again.

--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -23,6 +23,10 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("VETCHHAVEN_TEST_MAIN") == "1" {
 		main()
+		if os.Getenv("VETCHHAVEN_TEST_LAST") == "1" { // a signal in the last moment before the program's end
+			_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+			time.Sleep(time.Second)
+		}
 		os.Exit(0)
 	}
 	os.Exit(m.Run())
@@ -278,6 +282,20 @@
 	}
 }
 
+// A SIGHUP in the last moment before a program ends that was told to changes nothing either.
+func TestSighupInTheLastMoment(t *testing.T) {
+	t.Setenv("VETCHHAVEN_TEST_LAST", "1")
+	addr := freeAddr(t)
+	cmd, log := program(t, fmt.Sprintf(config, addr, freeAddr(t), freeAddr(t)))
+	awaitReady(t, addr)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v; log %q", err, log)
+	}
+}
+
 // A process that starts at the address of one that is told to end and still has a request to answer, with discovery down and a
 // list that is known, serves as soon as the address is free; the older one's request has its answer.
 func TestRestartBesideADrainingProcess(t *testing.T) {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -14,10 +14,9 @@
 
 // Serve runs the agent that a source describes until SIGTERM.
 func Serve(log *slog.Logger, source Source) error {
-	// From the first moment on: unheeded it would end the program.
+	// From the first moment to the program's last: unheeded it would end the program with a signal.
 	replaced := make(chan os.Signal, 1)
 	signal.Notify(replaced, syscall.SIGHUP)
-	defer signal.Stop(replaced)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	cfg, err := source.Load()
