Let a hub that starts take its first burst of agents

Cause: the admission began without a token, so the second agent within 5 ms of a hub's start was sent away.

--- a/internal/fleet/hub/server.go
+++ b/internal/fleet/hub/server.go
@@ -82,7 +82,7 @@
 		cfg.AdmitRate = admitRate
 	}
 	now := time.Now()
-	return &Server{cfg: cfg, door: fact.New(cfg.Name, cfg.Incarnation, cfg.Bounds, nil), roll: newRoll(), admission: admission{rate: cfg.AdmitRate, at: now},
+	return &Server{cfg: cfg, door: fact.New(cfg.Name, cfg.Incarnation, cfg.Bounds, nil), roll: newRoll(), admission: admission{rate: cfg.AdmitRate, tokens: max(1, cfg.AdmitRate/10), at: now},
 		born: now, awake: now, named: map[string]time.Time{}, words: map[string]uint32{}, refuse: map[string]time.Time{}}
 }
 
