Measure what a call's way through a real agent adds, beside direct calls

Needed for the question of scale: what an agent adds at p99 to a call, with lists of 8 to 1,800 backends, while lists change, and what it uses while nobody calls. Backends are up to 1,800 sockets of their own, agents are processes of the built program, calls of both ways go out by one plan in turn.

--- /dev/null
+++ b/internal/scale/callway/callway_test.go
@@ -0,0 +1,142 @@
+package callway
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	full   = flag.Bool("scale.full", false, "play whole runs and write the tables; else a small one")
+	runs   = flag.Int("scale.runs", 3, "so many runs")
+	again  = flag.Bool("scale.append", false, "add the runs to those that are there")
+	out    = flag.String("scale.out", "../../../docs/capacity/callway", "where whole runs are written, without .json and .md")
+	traces = flag.String("scale.trace", "", "a folder for traces of agents; none are made without it")
+)
+
+// TestMain lets the test binary stand in for the program, for traces.
+func TestMain(m *testing.M) {
+	if dir := os.Getenv(tracedEnv); dir != "" {
+		if err := ServeTraced(os.Args[len(os.Args)-1], dir); err != nil {
+			panic(err)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func newBench(t *testing.T, backends int) *Bench {
+	t.Helper()
+	b, err := Listen(backends)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	dir := t.TempDir()
+	command, err := Build(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Bench{Dir: dir, Command: command, Backends: b, Seed: uint64(time.Now().UnixNano())}
+}
+
+// Both ways answer all, a change of the list included, and the tables are made of it. With -scale.full: in full.
+func TestTable(t *testing.T) {
+	windows, sizes, settle, idle := Full(), []int{8, 60, 100, 1800}, 2*time.Second, 10*time.Second
+	how := "go test ./internal/scale/callway -run Table -scale.full -timeout 20m"
+	if !*full {
+		*runs, sizes, settle, idle = 1, []int{8}, 0, 100*time.Millisecond
+		how = "go test ./internal/scale/callway"
+		*out = filepath.Join(t.TempDir(), "callway")
+		windows = []Window{{Name: "calls", Length: time.Second, Cells: []Cell{{List: 8, Rate: 72, Tick: defaultTick}}},
+			{Name: "changes", Length: 1200 * time.Millisecond, Cells: []Cell{{List: 8, Rate: 72, Tick: defaultTick, Turns: "entries"}}}}
+	}
+	most := 0
+	for _, w := range windows {
+		for _, c := range w.Cells {
+			most = max(most, c.List)
+		}
+	}
+	b := newBench(t, most)
+	result := &Result{}
+	if *again {
+		var err error
+		if result, err = Load(*out + ".json"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	result.How = how
+	for range *runs {
+		run := Run{At: time.Now().UTC().Truncate(time.Second)}
+		b.Seed++
+		for _, w := range windows {
+			rows, err := b.Run(t.Context(), w)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range rows {
+				if r.Failed+r.FailedDirect > 0 {
+					t.Errorf("%+v: %d failed through the agent, %d directly: %s", r.Cell, r.Failed, r.FailedDirect, r.Why)
+				}
+				if r.Through.N == 0 || r.Direct.N == 0 || w.Name == "changes" && (r.Changes == 0 || r.Rest.N == 0) {
+					t.Errorf("%+v: calls are missing: %d, %d, %d after %d changes", r.Cell, r.Through.N, r.Direct.N, r.After.N, r.Changes)
+				}
+			}
+			run.Rows = append(run.Rows, rows...)
+		}
+		var err error
+		if run.Idle, err = b.Idle(t.Context(), sizes, settle, idle); err != nil {
+			t.Fatal(err)
+		}
+		result.Runs = append(result.Runs, run)
+		if err := result.Save(*out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	saved, err := Load(*out + ".json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(*out + ".md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := saved.Markdown(); got != string(text) || strings.Count(got, "\n| 5ms | 72 |") < 3 || !strings.Contains(got, "\n| 8 | ") {
+		t.Errorf("the tables are not those of the saved runs:\n%s", got)
+	}
+}
+
+// Every entry of a list of 1,800 can be called at an address of its own.
+func TestEntries(t *testing.T) {
+	b, err := Listen(1800)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	client, seen := newClient(), map[string]bool{}
+	defer client.CloseIdleConnections()
+	for i, addr := range b.Addrs {
+		if _, got, err := call(client, addr, since()); err != nil || got != i || seen[addr] {
+			t.Fatalf("entry %d at %s: backend %d, %v", i, addr, got, err)
+		}
+		seen[addr] = true
+	}
+}
+
+// With -scale.trace: an agent with a long list under the runtime's instruments.
+func TestTrace(t *testing.T) {
+	if *traces == "" {
+		t.Skip("no folder for traces was named")
+	}
+	b := newBench(t, 1800)
+	for _, c := range []Cell{{List: 1800, Rate: 72, Tick: defaultTick}, {List: 1800, Rate: 72, Tick: "0s"}, {List: 1800, Rate: 1000, Tick: "0s"}} {
+		r, err := b.Trace(t.Context(), c, 4*time.Second, *traces)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%+v: direct %+v, through %+v, slowest %+v", c, r.Direct, r.Through, r.Slowest)
+	}
+}
--- /dev/null
+++ b/internal/scale/callway/process.go
@@ -0,0 +1,187 @@
+package callway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Class is the class of requests that agents are told of: a read, which may be repeated at will.
+const Class = "lookup"
+
+// Config is an agent's configuration: the defaults, but for what it says.
+func Config(listService, tick string) string {
+	return fmt.Sprintf(`listen = "127.0.0.1:0"
+discovery = %q
+zones = [%q]
+zone = %q
+kinds = [%q]
+
+[attempts]
+tick = %q
+
+[[class]]
+name = %q
+effect = "safe"
+aim = "600ms"
+deadline = "2s"
+worth = 1.0
+`, listService, zoneName, zoneName, kindName, tick, Class)
+}
+
+// Process is a real agent.
+type Process struct {
+	Addr string // where clients connect
+	cmd  *exec.Cmd
+	read chan struct{} // closed once its log has ended
+	tail []string      // the end of its log, once read is closed
+}
+
+// Build builds the program into a folder and returns the command that starts an agent.
+func Build(dir string) ([]string, error) {
+	program := filepath.Join(dir, "martenbeam")
+	cmd := exec.Command("go", "build", "-buildvcs=false", "-o", program, "brookferry/cmd/martenbeam")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return nil, fmt.Errorf("%w: %s", err, out)
+	}
+	return []string{program, "agent", "--log-format", "json", "--config"}, nil
+}
+
+// Start starts an agent from a command, which is given the configuration's file as its last argument, and waits until it
+// takes clients and has its list.
+func Start(ctx context.Context, dir, config string, env []string, command ...string) (*Process, error) {
+	file, err := os.CreateTemp(dir, "agent-*.toml")
+	if err != nil {
+		return nil, err
+	}
+	if _, err = file.WriteString(config); err == nil {
+		err = file.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{cmd: exec.Command(command[0], append(slices.Clone(command[1:]), file.Name())...), read: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	log, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	serving := make(chan string, 1)
+	go p.follow(log, serving)
+	select {
+	case p.Addr = <-serving:
+		err = p.ready(ctx)
+	case <-p.read:
+		err = fmt.Errorf("the agent ended: %s", strings.Join(p.tail, "\n"))
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = p.cmd.Process.Kill() // ended already if it fails
+		<-p.read
+		_ = p.cmd.Wait() // it was killed
+		return nil, err
+	}
+	return p, nil
+}
+
+// follow reads the log, which says where the agent listens.
+func (p *Process) follow(log io.Reader, serving chan<- string) {
+	defer close(p.read)
+	for lines := bufio.NewScanner(log); lines.Scan(); {
+		var l struct{ Msg, Listen string }
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Msg == "serving" {
+			serving <- l.Listen
+		}
+		if p.tail = append(p.tail, lines.Text()); len(p.tail) > 20 {
+			p.tail = p.tail[1:]
+		}
+	}
+}
+
+const readyWithin = 20 * time.Second
+
+// ready waits until the agent has a list.
+func (p *Process) ready(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	again := time.NewTicker(5 * time.Millisecond)
+	defer again.Stop()
+	for {
+		resp, err := client.Get("http://" + p.Addr + "/_health")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not ready: %w", ctx.Err())
+		case <-again.C:
+		}
+	}
+}
+
+// Stop has the agent finish.
+func (p *Process) Stop() error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	<-p.read
+	if err := p.cmd.Wait(); err != nil {
+		return fmt.Errorf("%w: %s", err, strings.Join(p.tail, "\n"))
+	}
+	return nil
+}
+
+// Use is what a process uses.
+type Use struct {
+	ResidentMB float64
+	CPU        time.Duration // by all threads that are still there
+}
+
+// Use reads what the agent uses now.
+func (p *Process) Use() (u Use, err error) {
+	proc := "/proc/" + strconv.Itoa(p.cmd.Process.Pid)
+	status, err := os.ReadFile(proc + "/status")
+	if err != nil {
+		return u, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
+			kb, _ := strconv.ParseFloat(f[1], 64) // the kernel writes numbers
+			u.ResidentMB = kb / 1024
+		}
+	}
+	threads, err := filepath.Glob(proc + "/task/*/schedstat")
+	if err != nil {
+		return u, err
+	}
+	for _, file := range threads {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if f := strings.Fields(string(text)); len(f) > 0 {
+			ns, _ := strconv.ParseInt(f[0], 10, 64) // the kernel writes numbers
+			u.CPU += time.Duration(ns)
+		}
+	}
+	return u, nil
+}
--- /dev/null
+++ b/internal/scale/callway/report.go
@@ -0,0 +1,251 @@
+package callway
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Spread is quantiles of latencies, in ms.
+type Spread struct {
+	N                       int
+	P50, P99, P999, Most    float64
+	FreshShare, In99, Out99 float64 // share of calls on a new connection to the backend; p99 of either half of the way
+}
+
+// Row is what one cell showed in one run.
+type Row struct {
+	Window string
+	Cell
+	Direct, Through                      Spread
+	After, Rest, AfterDirect, RestDirect Spread `json:",omitzero"`
+	Changes                              int    `json:",omitempty"`
+	Failed, FailedDirect                 int
+	Why                                  string  `json:",omitempty"`
+	LateP99                              float64 // of the caller itself
+	ResidentMB, CPUms                    float64 // of one agent, the latter for each second
+	Slowest                              Slowest
+}
+
+// Slowest is what the slowest hundredth of the calls through the agent spent, in ms, in the mean: on the way to the backend's handler, and
+// back from there; and the share that went on a new connection.
+type Slowest struct{ In, Out, FreshShare float64 }
+
+// IdleRow is what an agent uses that nobody calls.
+type IdleRow struct {
+	List              int
+	ResidentMB, CPUms float64 // the latter for each second
+}
+
+// Result is every run.
+type Result struct {
+	How  string
+	Runs []Run
+}
+
+// Run is one of them.
+type Run struct {
+	At   time.Time
+	Rows []Row
+	Idle []IdleRow
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// quantile takes a sorted list; the value that a share of q of it does not pass.
+func quantile(list []float64, q float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	return list[min(len(list)-1, max(0, int(math.Ceil(q*float64(len(list))))-1))]
+}
+
+func sumUp(list []sample) (s Spread) {
+	if len(list) == 0 {
+		return s
+	}
+	var total, in, out []float64
+	fresh := 0.0
+	for _, x := range list {
+		total, in, out = append(total, ms(x.total)), append(in, ms(x.in)), append(out, ms(x.out))
+		if x.fresh {
+			fresh++
+		}
+	}
+	slices.Sort(total)
+	slices.Sort(in)
+	slices.Sort(out)
+	return Spread{len(list), quantile(total, 0.5), quantile(total, 0.99), quantile(total, 0.999), total[len(total)-1],
+		fresh / float64(len(list)), quantile(in, 0.99), quantile(out, 0.99)}
+}
+
+func (r *Row) slowest(list []sample) {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(b.total, a.total) })
+	list = list[:(len(list)+99)/100]
+	for _, s := range list {
+		n := float64(len(list))
+		r.Slowest.In += ms(s.in) / n
+		r.Slowest.Out += ms(s.out) / n
+		if s.fresh {
+			r.Slowest.FreshShare += 1 / n
+		}
+	}
+}
+
+// Load reads a result that was saved; none yet is an empty one.
+func Load(file string) (*Result, error) {
+	text, err := os.ReadFile(file)
+	if os.IsNotExist(err) {
+		return &Result{}, nil
+	}
+	r := &Result{}
+	if err == nil {
+		err = json.Unmarshal(text, r)
+	}
+	return r, err
+}
+
+// Save writes the result, rounded, to FILE.json and its tables to FILE.md.
+func (r *Result) Save(file string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file+".json", append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(file+".md", []byte(r.Markdown()), 0o644)
+}
+
+// group is the rows of one cell, over the runs.
+type group []Row
+
+// over writes a figure's middle over the runs, and its spread.
+func (g group) over(of func(Row) float64) string {
+	var list []float64
+	for _, r := range g {
+		list = append(list, of(r))
+	}
+	return spread(list)
+}
+
+func spread(list []float64) string {
+	list = slices.Sorted(slices.Values(list))
+	middle := list[len(list)/2]
+	if len(list)%2 == 0 {
+		middle = (middle + list[len(list)/2-1]) / 2
+	}
+	if len(list) == 1 {
+		return fmt.Sprintf("%.2f", middle)
+	}
+	return fmt.Sprintf("%.2f (%.2f-%.2f)", middle, list[0], list[len(list)-1])
+}
+
+// groups are the cells of a kind of window, in the order of the first run.
+func (r *Result) groups(window string) (list []group) {
+	for _, run := range r.Runs {
+		for _, row := range run.Rows {
+			if row.Window != window {
+				continue
+			}
+			i := slices.IndexFunc(list, func(g group) bool { return g[0].Cell == row.Cell })
+			if i < 0 {
+				list = append(list, group{row})
+			} else {
+				list[i] = append(list[i], row)
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b group) int {
+		x, y := a[0], b[0]
+		return cmp.Or(strings.Compare(y.Tick, x.Tick), cmp.Compare(x.Rate, y.Rate), cmp.Compare(x.List, y.List), strings.Compare(x.Turns, y.Turns))
+	})
+	return list
+}
+
+func (c Cell) comes() string {
+	if c.Even {
+		return "evenly"
+	}
+	return "at random"
+}
+
+// Markdown is the tables.
+func (r *Result) Markdown() string {
+	var b strings.Builder
+	p := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	p("# A call's way\n")
+	p("Made by `%s`; runs: %d. In each field the middle of the runs, then the least and the most. All times in ms, from the", r.How, len(r.Runs))
+	p("time at which a call was meant to be sent until its answer was read. Added: the p99 through the agent less the p99 directly.\n")
+	p("## Calls\n")
+	p("| tick | a second | come | backends | calls a run | direct p50 | p99 | p99.9 | agent p50 | p99 | p99.9 | added at p50 | added at p99 | failed |")
+	p("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, g := range r.groups("calls") {
+		x := g[0]
+		failed := 0
+		for _, y := range g {
+			failed += y.Failed + y.FailedDirect
+		}
+		p("| %s | %v | %s | %d | %d | %s | %s | %s | %s | %s | %s | %s | %s | %d |", x.Tick, x.Rate, x.comes(), x.List, x.Through.N,
+			g.over(func(r Row) float64 { return r.Direct.P50 }), g.over(func(r Row) float64 { return r.Direct.P99 }),
+			g.over(func(r Row) float64 { return r.Direct.P999 }), g.over(func(r Row) float64 { return r.Through.P50 }),
+			g.over(func(r Row) float64 { return r.Through.P99 }), g.over(func(r Row) float64 { return r.Through.P999 }),
+			g.over(func(r Row) float64 { return r.Through.P50 - r.Direct.P50 }),
+			g.over(func(r Row) float64 { return r.Through.P99 - r.Direct.P99 }), failed)
+	}
+	p("\n## Where the slowest hundredth of the calls through the agent spent their time\n")
+	p("| tick | a second | come | backends | to the backend, mean | back, mean | on a new connection | of all calls | agent's processor, ms a second | resident, MB | caller late, p99 |")
+	p("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, g := range r.groups("calls") {
+		x := g[0]
+		p("| %s | %v | %s | %d | %s | %s | %s | %s | %s | %s | %s |", x.Tick, x.Rate, x.comes(), x.List,
+			g.over(func(r Row) float64 { return r.Slowest.In }), g.over(func(r Row) float64 { return r.Slowest.Out }),
+			g.over(func(r Row) float64 { return r.Slowest.FreshShare }), g.over(func(r Row) float64 { return r.Through.FreshShare }),
+			g.over(func(r Row) float64 { return r.CPUms }), g.over(func(r Row) float64 { return r.ResidentMB }),
+			g.over(func(r Row) float64 { return r.LateP99 }))
+	}
+	if list := r.groups("changes"); len(list) > 0 {
+		p("\n## A change of the list each second\n")
+		p("One backend drains, the one that drained before is ready again; told as these two entries, or as the whole list.\n")
+		p("| tick | a second | backends | told as | calls after, a run | agent p99 in the 100 ms after | rest | direct p99 after | rest | agent p99.9 after | rest | failed |")
+		p("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		for _, g := range list {
+			x := g[0]
+			failed := 0
+			for _, y := range g {
+				failed += y.Failed + y.FailedDirect
+			}
+			p("| %s | %v | %d | %s | %d | %s | %s | %s | %s | %s | %s | %d |", x.Tick, x.Rate, x.List, x.Turns, x.After.N,
+				g.over(func(r Row) float64 { return r.After.P99 }), g.over(func(r Row) float64 { return r.Rest.P99 }),
+				g.over(func(r Row) float64 { return r.AfterDirect.P99 }), g.over(func(r Row) float64 { return r.RestDirect.P99 }),
+				g.over(func(r Row) float64 { return r.After.P999 }), g.over(func(r Row) float64 { return r.Rest.P999 }), failed)
+		}
+	}
+	p("\n## An agent that nobody calls\n")
+	p("| backends | resident, MB | processor, ms a second |")
+	p("| --- | --- | --- |")
+	idle := map[int][]IdleRow{}
+	var sizes []int
+	for _, run := range r.Runs {
+		for _, x := range run.Idle {
+			if idle[x.List] == nil {
+				sizes = append(sizes, x.List)
+			}
+			idle[x.List] = append(idle[x.List], x)
+		}
+	}
+	for _, n := range sizes {
+		var mb, cpu []float64
+		for _, x := range idle[n] {
+			mb, cpu = append(mb, x.ResidentMB), append(cpu, x.CPUms)
+		}
+		p("| %d | %s | %s |", n, spread(mb), spread(cpu))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/scale/callway/traced.go
@@ -0,0 +1,68 @@
+package callway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime/pprof"
+	"runtime/trace"
+	"time"
+
+	"brookferry/internal/agent"
+	"brookferry/internal/config"
+	"brookferry/internal/together"
+)
+
+// tracedEnv names the folder in which a program that ends up in ServeTraced leaves what it recorded.
+const tracedEnv = "CALLWAY_TRACED"
+
+// Trace plays one cell on an agent that is this very program and calls ServeTraced.
+func (b *Bench) Trace(ctx context.Context, c Cell, length time.Duration, dir string) (Row, error) {
+	dir = filepath.Join(dir, fmt.Sprintf("%d-backends-%v-a-second-tick-%s", c.List, c.Rate, c.Tick))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return Row{}, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return Row{}, err
+	}
+	traced := &Bench{Dir: b.Dir, Command: []string{self}, Env: []string{tracedEnv + "=" + dir}, Backends: b.Backends, Seed: b.Seed}
+	rows, err := traced.Run(ctx, Window{Name: "trace", Warm: time.Second, Length: length, Cells: []Cell{c}})
+	if err != nil {
+		return Row{}, err
+	}
+	return rows[0], nil
+}
+
+// ServeTraced runs an agent as the program does, and leaves a trace and a profile of the processor's time in a folder.
+func ServeTraced(file, dir string) error {
+	source := agent.Source{Name: file, Getenv: func(string) string { return "" }, Join: together.Shares,
+		Read: func() ([]byte, error) {
+			c, err := config.Read(file)
+			if err != nil {
+				return nil, err
+			}
+			return c.Platform()
+		}}
+	profile, err := os.Create(filepath.Join(dir, "cpu.pprof"))
+	if err != nil {
+		return err
+	}
+	defer profile.Close()
+	events, err := os.Create(filepath.Join(dir, "trace.out"))
+	if err != nil {
+		return err
+	}
+	defer events.Close()
+	if err := pprof.StartCPUProfile(profile); err != nil {
+		return err
+	}
+	defer pprof.StopCPUProfile()
+	if err := trace.Start(events); err != nil {
+		return err
+	}
+	defer trace.Stop()
+	return agent.Serve(slog.New(slog.NewJSONHandler(os.Stderr, nil)), source)
+}
