--- a/internal/scale/callway/window.go
+++ b/internal/scale/callway/window.go
@@ -47,25 +47,43 @@
 	return err
 }
 
+// startAll starts the agents of all cells at once, and returns those that came up even where others did not.
+func (b *Bench) startAll(ctx context.Context, cells []Cell) (lanes []*lane, err error) {
+	lanes, errs := make([]*lane, len(cells)), make([]error, len(cells))
+	var starts sync.WaitGroup
+	for i, c := range cells {
+		starts.Go(func() { lanes[i], errs[i] = b.start(ctx, c) })
+	}
+	starts.Wait()
+	return slices.DeleteFunc(lanes, func(l *lane) bool { return l == nil }), errors.Join(errs...)
+}
+
+// stopAll stops agents, all at once.
+func stopAll(lanes []*lane) error {
+	errs := make([]error, len(lanes))
+	var stops sync.WaitGroup
+	for i, l := range lanes {
+		stops.Go(func() { errs[i] = l.stop() })
+	}
+	stops.Wait()
+	return errors.Join(errs...)
+}
+
 // Run plays a window and returns a row for each cell.
 func (b *Bench) Run(ctx context.Context, w Window) (rows []Row, err error) {
 	var lanes []*lane
-	defer func() {
-		for _, l := range lanes {
-			err = errors.Join(err, l.stop())
-		}
-	}()
+	defer func() { err = errors.Join(err, stopAll(lanes)) }()
 	most := 0
+	var cells []Cell
 	for _, c := range w.Cells {
 		for range max(1, c.Agents) {
-			l, err := b.start(ctx, c)
-			if err != nil {
-				return nil, err
-			}
-			lanes = append(lanes, l)
+			cells = append(cells, c)
 		}
 		most = max(most, c.List)
 	}
+	if lanes, err = b.startAll(ctx, cells); err != nil {
+		return nil, err
+	}
 	direct := newClient()
 	defer direct.CloseIdleConnections()
 	for i, addr := range b.Backends.Addrs[:most] { // each can be called, and has a connection that is kept
@@ -95,31 +113,24 @@
 			return nil, err
 		}
 	}
-	for len(lanes) > 0 { // of one cell each time
-		n := max(1, lanes[0].cell.Agents)
-		rows = append(rows, row(w.Name, lanes[:n], took))
-		for _, l := range lanes[:n] {
-			err = errors.Join(err, l.stop())
-		}
-		lanes = lanes[n:]
+	for rest := lanes; len(rest) > 0; { // those of one cell each time
+		n := max(1, rest[0].cell.Agents)
+		rows = append(rows, row(w.Name, rest[:n], took))
+		rest = rest[n:]
 	}
-	return rows, err
+	return rows, nil
 }
 
 // Idle measures agents that nobody calls, with lists of each size, all at once.
 func (b *Bench) Idle(ctx context.Context, sizes []int, settle, length time.Duration) (rows []IdleRow, err error) {
-	var lanes []*lane
-	defer func() {
-		for _, l := range lanes {
-			err = errors.Join(err, l.stop())
-		}
-	}()
+	var cells []Cell
 	for _, n := range sizes {
-		l, err := b.start(ctx, Cell{List: n, Tick: defaultTick})
-		if err != nil {
-			return nil, err
-		}
-		lanes = append(lanes, l)
+		cells = append(cells, Cell{List: n, Tick: defaultTick})
+	}
+	lanes, err := b.startAll(ctx, cells)
+	defer func() { err = errors.Join(err, stopAll(lanes)) }()
+	if err != nil {
+		return nil, err
 	}
 	use := func(after time.Duration) (list []Use, err error) {
 		select {
@@ -156,9 +167,9 @@
 // Full is the windows of a whole run.
 func Full() (list []Window) {
 	sizes, ticks := []int{8, 100, 1800}, []string{defaultTick, "0s"}
-	low := Window{Name: "calls", Warm: 2 * time.Second, Length: 18 * time.Second}
-	mid := Window{Name: "calls", Warm: time.Second, Length: 8 * time.Second}
-	turns := Window{Name: "changes", Warm: time.Second, Length: 19 * time.Second}
+	low := Window{Name: "calls", Warm: time.Second, Length: 8 * time.Second}
+	mid := Window{Name: "calls", Warm: time.Second / 2, Length: 3 * time.Second}
+	turns := Window{Name: "changes", Warm: 500 * time.Millisecond, Length: 5500 * time.Millisecond}
 	for _, n := range sizes {
 		for _, tick := range ticks {
 			low.Cells = append(low.Cells, Cell{List: n, Rate: 10, Tick: tick, Agents: 3}, Cell{List: n, Rate: 72, Tick: tick})
@@ -175,7 +186,7 @@
 	}
 	list = append(list, low, mid)
 	for _, n := range sizes {
-		high := Window{Name: "calls", Warm: time.Second, Length: 4 * time.Second}
+		high := Window{Name: "calls", Warm: time.Second / 2, Length: 1500 * time.Millisecond}
 		for _, tick := range ticks {
 			high.Cells = append(high.Cells, Cell{List: n, Rate: 1000, Tick: tick})
 		}
