--- a/internal/scale/callway/callway_test.go
+++ b/internal/scale/callway/callway_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,7 +14,7 @@
 var (
 	full   = flag.Bool("scale.full", false, "play whole runs and write the tables; else a small one")
 	runs   = flag.Int("scale.runs", 3, "so many runs")
-	again  = flag.Bool("scale.append", false, "add the runs to those that are there")
+	again  = flag.Bool("scale.append", false, "add the runs to those that are there; with no runs the tables are written anew")
 	out    = flag.String("scale.out", "../../../docs/capacity/callway", "where whole runs are written, without .json and .md")
 	traces = flag.String("scale.trace", "", "a folder for traces of agents; none are made without it")
 )
@@ -73,9 +74,14 @@
 	for range *runs {
 		run := Run{At: time.Now().UTC().Truncate(time.Second)}
 		b.Seed++
+		stolen, all, err := Stolen()
+		if err != nil {
+			t.Fatal(err)
+		}
 		var resting sync.WaitGroup // agents that nobody calls, beside the first windows
+		var unused []IdleRow
 		var failed error
-		resting.Go(func() { run.Idle, failed = b.Idle(t.Context(), sizes, settle, idle) })
+		resting.Go(func() { unused, failed = b.Idle(t.Context(), sizes, settle, idle) })
 		for _, w := range windows {
 			rows, err := b.Run(t.Context(), w)
 			if err != nil {
@@ -91,14 +97,24 @@
 				}
 			}
 			run.Rows = append(run.Rows, rows...)
+			if err := (&Result{How: how, Runs: append(slices.Clone(result.Runs), run)}).Save(*out); err != nil { // a run cut off is kept
+				resting.Wait()
+				t.Fatal(err)
+			}
 		}
 		if resting.Wait(); failed != nil {
 			t.Fatal(failed)
 		}
-		result.Runs = append(result.Runs, run)
-		if err := result.Save(*out); err != nil {
+		run.Idle = unused
+		if s, a, err := Stolen(); err != nil {
 			t.Fatal(err)
+		} else if a > all {
+			run.Stolen = (s - stolen) / (a - all)
 		}
+		result.Runs = append(result.Runs, run)
+	}
+	if err := result.Save(*out); err != nil {
+		t.Fatal(err)
 	}
 	saved, err := Load(*out + ".json")
 	if err != nil {
--- a/internal/scale/callway/process.go
+++ b/internal/scale/callway/process.go
@@ -150,6 +150,22 @@
 	return nil
 }
 
+// Stolen reads the processor time of all cores since the system's start, and what of it its host gave to others.
+func Stolen() (stolen, all float64, err error) {
+	text, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, 0, err
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	for i, f := range strings.Fields(line) {
+		n, _ := strconv.ParseFloat(f, 64) // the first is the line's name
+		if all += n; i == 8 {
+			stolen = n
+		}
+	}
+	return stolen, all, nil
+}
+
 // Use is what a process uses.
 type Use struct {
 	ResidentMB float64
--- a/internal/scale/callway/report.go
+++ b/internal/scale/callway/report.go
@@ -53,6 +53,8 @@
 	At   time.Time
 	Rows []Row
 	Idle []IdleRow
+	// Stolen is the share of the cores' time that the system's host gave to others meanwhile; 0 may be: not measured.
+	Stolen float64
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -176,17 +178,16 @@
 	return "at random"
 }
 
-// Markdown is the tables.
-func (r *Result) Markdown() string {
-	var b strings.Builder
-	p := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
-	p("# A call's way\n")
-	p("Made by `%s`; runs: %d. In each field the middle of the runs, then the least and the most. All times in ms, from the", r.How, len(r.Runs))
-	p("time at which a call was meant to be sent until its answer was read. Added: the p99 through the agent less the p99 directly.\n")
-	p("## Calls\n")
+// calls writes the tables of one kind of window.
+func (r *Result) calls(p func(string, ...any), title, window string) {
+	list := r.groups(window)
+	if len(list) == 0 {
+		return
+	}
+	p("\n## %s\n", title)
 	p("| tick | a second | come | backends | calls a run | direct p50 | p99 | p99.9 | agent p50 | p99 | p99.9 | added at p50 | added at p99 | failed |")
 	p("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, g := range r.groups("calls") {
+	for _, g := range list {
 		x := g[0]
 		failed := 0
 		for _, y := range g {
@@ -199,10 +200,10 @@
 			g.over(func(r Row) float64 { return r.Through.P50 - r.Direct.P50 }),
 			g.over(func(r Row) float64 { return r.Through.P99 - r.Direct.P99 }), failed)
 	}
-	p("\n## Where the slowest hundredth of the calls through the agent spent their time\n")
+	p("\nWhere the slowest hundredth of the calls through the agent spent their time:\n")
 	p("| tick | a second | come | backends | to the backend, mean | back, mean | on a new connection | of all calls | agent's processor, ms a second | resident, MB | caller late, p99 |")
 	p("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, g := range r.groups("calls") {
+	for _, g := range list {
 		x := g[0]
 		p("| %s | %v | %s | %d | %s | %s | %s | %s | %s | %s | %s |", x.Tick, x.Rate, x.comes(), x.List,
 			g.over(func(r Row) float64 { return r.Slowest.In }), g.over(func(r Row) float64 { return r.Slowest.Out }),
@@ -210,6 +211,24 @@
 			g.over(func(r Row) float64 { return r.CPUms }), g.over(func(r Row) float64 { return r.ResidentMB }),
 			g.over(func(r Row) float64 { return r.LateP99 }))
 	}
+}
+
+// Markdown is the tables.
+func (r *Result) Markdown() string {
+	var b strings.Builder
+	p := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	p("# A call's way\n")
+	p("Made by `%s`; runs: %d. In each field the middle of the runs, then the least and the most. All times in ms, from the", r.How, len(r.Runs))
+	p("time at which a call was meant to be sent until its answer was read. Added: the p99 through the agent less the p99 directly.\n")
+	for i, run := range r.Runs {
+		stolen := "what the host took of the cores' time was not measured"
+		if run.Stolen > 0 {
+			stolen = fmt.Sprintf("the host took %.0f%% of the cores' time", 100*run.Stolen)
+		}
+		p("Run %d, %s: %s.\n", i+1, run.At.Format(time.RFC3339), stolen)
+	}
+	r.calls(p, "Calls, four agents at once", "few")
+	r.calls(p, "Calls, two to 24 agents at once", "calls")
 	if list := r.groups("changes"); len(list) > 0 {
 		p("\n## A change of the list each second\n")
 		p("One backend drains, the one that drained before is ready again; told as these two entries, or as the whole list.\n")
--- a/internal/scale/callway/window.go
+++ b/internal/scale/callway/window.go
@@ -184,6 +184,15 @@
 		turns.Cells = append(turns.Cells, Cell{List: 1800, Rate: rate, Tick: "0s", Turns: "entries"},
 			Cell{List: 1800, Rate: rate, Tick: "0s", Turns: "whole"})
 	}
+	for range 3 {
+		few := Window{Name: "few", Warm: time.Second, Length: 5 * time.Second}
+		for _, n := range []int{8, 1800} {
+			for _, tick := range ticks {
+				few.Cells = append(few.Cells, Cell{List: n, Rate: 72, Tick: tick})
+			}
+		}
+		list = append(list, few)
+	}
 	list = append(list, low, mid)
 	for _, n := range sizes {
 		high := Window{Name: "calls", Warm: time.Second / 2, Length: 1500 * time.Millisecond}
