Use backends of a kind that the settings don't name

Cause: fit (state.go) made no entry for kind -1 and read index 0: an agent with the default kinds = [] ended with a panic at its first request. Seen by a call's way with that default; the list may name any kind. TestKindThatIsNotNamed panics without the change.

--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -244,6 +244,18 @@
 	}
 }
 
+// A backend of a kind that the settings don't name is used like any other.
+func TestKindThatIsNotNamed(t *testing.T) {
+	list := backends(2)
+	for i := range list {
+		list[i].Kind = -1
+	}
+	r := newRig(t, settings(), 1, list)
+	if counts := r.serve(20, safe, 50*ms); counts["a"] == 0 || counts["b"] == 0 {
+		t.Errorf("served by %v", counts)
+	}
+}
+
 // A keyed request that may have run goes only to its group and within its window.
 func TestKeyedGroup(t *testing.T) {
 	zone := map[string]int{"a": 0, "b": 0, "c": 1, "d": 1, "e": 2, "f": 2}
--- a/state.go
+++ b/state.go
@@ -149,6 +149,7 @@
 	warmOut  int     // attempts in flight there
 	delay    float64 // running mean of latency over aim
 	ramp     float64 // the part of the stated time that backends seem to need to get warm
+	believed float64 // the multiple of its sure share up to which a cold backend's answers are believed
 
 	done, best  decaying // requests served over about one fall window, that of a cold backend over its warmth
 	cutAt, born time.Duration
@@ -188,6 +189,7 @@
 		timers: map[int64]*request{}, watched: map[int64]*attempt{}, fits: make([][]float64, len(s.Classes))}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
+	b.believed = math.Pow(max(1, s.FallMultiple), coldTrust) // here, since each step asks for it for every backend
 	b.done.span, b.best.span = float64(s.FallWindow+1), float64(s.RampTime+1)
 	for _, c := range s.Classes {
 		b.period = max(b.period, c.Aim)
@@ -238,7 +240,7 @@
 // fit is how much slower than the mean backends of this kind serve a class. Departure: a quiet
 // agent pools what it learns, since it has few answers for each backend, class by class.
 func (b *Balancer) fit(t *backend, class int) *float64 {
-	for len(b.fits[class]) <= t.Kind {
+	for len(b.fits[class]) <= max(t.Kind, 0) { // a kind that the settings don't name is −1
 		b.fits[class] = append(b.fits[class], 1)
 	}
 	return &b.fits[class][max(t.Kind, 0)]
