--- a/cold.go
+++ b/cold.go
@@ -25,7 +25,7 @@
 // sure share is not left idle; the stated multiple bounds how far that is believed.
 func (b *Balancer) warmth(t *backend) float64 {
 	least, sure := b.s.ColdShare, b.sure(t)
-	return min(1, least+(sure-least)/b.ramp, sure*math.Pow(max(1, b.s.FallMultiple), coldTrust))
+	return min(1, least+(sure-least)/b.ramp, sure*b.believed)
 }
 
 // sure is the share of its full capacity that a backend surely has by now.
