Test that kept settings hold from the start, and never ask the service out of turn

An agent whose hub was lost between its word and the look for its address would have asked the list service at once: it now waits for its turn. Kept settings are tested in both forms of an agent configuration.

--- a/internal/fleet/spoke/lists.go
+++ b/internal/fleet/spoke/lists.go
@@ -43,7 +43,10 @@
 	if s.pacer.Turn(turn, s.starters) {
 		return source.Source{}, true
 	}
-	return source.Source{Addr: s.hub(), Silence: relaySilence, Relayed: true}, ctx.Err() == nil
+	if addr := s.hub(); addr != "" || ctx.Err() != nil {
+		return source.Source{Addr: addr, Silence: relaySilence, Relayed: true}, ctx.Err() == nil
+	}
+	return source.Source{}, s.pacer.Turn(ctx, s.starters) // it is lost already
 }
 
 // starters counts who may ask the service at once: who is seen to start, and, where lists are relayed, all of a hub, since
--- /dev/null
+++ b/internal/together/settings_test.go
@@ -0,0 +1,65 @@
+package together
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"brookferry"
+	"brookferry/internal/agent"
+	"brookferry/internal/config"
+	"brookferry/internal/settings"
+)
+
+const file = `discovery = "127.0.0.1:1"
+[fleet]
+listen = "127.0.0.1:0"
+[fleet.hubs]
+a = "127.0.0.1:2"
+[settings]
+state = %q
+[[class]]
+name = "get"
+effect = "safe"
+aim = "1s"
+deadline = "2s"
+`
+
+// Settings that were kept hold from the start of an agent, whichever form its own configuration has.
+func TestKeptSettingsHoldFromTheStart(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	dir := t.TempDir()
+	if err := settings.Keep(dir)(2, []string{"version = 2\ndiscovery = \"127.0.0.1:9\"\n[attempts]\nmost = 3\n"}); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "agent.toml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, file, dir), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	bare, err := config.Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	overlaid, err := File(path, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		agent.Source
+		most int
+	}{"file": {overlaid, 3}, "platform": {agent.Source{Read: bare.Platform, Getenv: func(string) string { return "" }, Join: Shares}, 5}} {
+		cfg, err := c.Load()
+		if err != nil {
+			t.Fatal(err)
+		}
+		moved := func(addr string) { t.Errorf("%s: discovery moves to %s before the agent runs", name, addr) }
+		if _, _, err := cfg.Join(cfg, log, func(brookferry.Event) {}, moved); err != nil {
+			t.Fatal(err)
+		}
+		if cfg.Discovery != "127.0.0.1:9" || cfg.Settings.MaxAttempts != c.most {
+			t.Errorf("%s: discovery at %s, %d attempts", name, cfg.Discovery, cfg.Settings.MaxAttempts)
+		}
+	}
+}
