Hold real agents' processes against hollow ones of the same fleet

Figures of hollow agents are worth as much as the model is like the product. A dozen agent processes join a fleet of hollow ones, idle: processor time from /proc and the bytes from one agent to one other are held against each other, and what differs by more than 20% is told.

--- a/internal/scale/hollow/wire.go
+++ b/internal/scale/hollow/wire.go
@@ -39,7 +39,10 @@
 type Count struct{ Bytes, Messages int64 }
 
 // Traffic is what has passed an agent's sockets, by part.
-type Traffic struct{ In, Out [parts]Count }
+type Traffic struct {
+	In, Out   [parts]Count
+	Strangers Count // of the datagrams that came, those of agents that are not hollow
+}
 
 // Network is what lies between agents. Its faults hold for all of them.
 type Network struct {
@@ -106,7 +109,8 @@
 	net  *Network
 	zone string
 
-	in, out [parts]struct{ bytes, messages atomic.Int64 }
+	in, out   [parts]counter
+	strangers counter
 
 	dead   atomic.Bool
 	paused atomic.Bool
@@ -114,6 +118,15 @@
 	gate   chan struct{} // open while paused
 }
 
+type counter struct{ bytes, messages atomic.Int64 }
+
+func (c *counter) add(n int) {
+	c.bytes.Add(int64(n))
+	c.messages.Add(1)
+}
+
+func (c *counter) now() Count { return Count{c.bytes.Load(), c.messages.Load()} }
+
 var _ member.Wire = (*wire)(nil)
 
 func (w *wire) pause() {
@@ -154,15 +167,14 @@
 	if out {
 		c = &w.out[p]
 	}
-	c.bytes.Add(int64(n))
-	c.messages.Add(1)
+	c.add(n)
 }
 
 func (w *wire) traffic() (t Traffic) {
 	for p := range parts {
-		t.In[p] = Count{w.in[p].bytes.Load(), w.in[p].messages.Load()}
-		t.Out[p] = Count{w.out[p].bytes.Load(), w.out[p].messages.Load()}
+		t.In[p], t.Out[p] = w.in[p].now(), w.out[p].now()
 	}
+	t.Strangers = w.strangers.now()
 	return t
 }
 
@@ -172,6 +184,9 @@
 	if w.dead.Load() {
 		return false
 	}
+	if !out && w.net.zoneOf(peer) == "" {
+		w.strangers.add(len(data))
+	}
 	if data[0] == member.ProbeByte {
 		w.count(Distances, len(data), out)
 	} else {
--- a/internal/scale/measure_test.go
+++ b/internal/scale/measure_test.go
@@ -131,6 +131,7 @@
 		s.traffic.In[p] = hollow.Count{Bytes: now.In[p].Bytes - m.traffic.In[p].Bytes, Messages: now.In[p].Messages - m.traffic.In[p].Messages}
 		s.traffic.Out[p] = hollow.Count{Bytes: now.Out[p].Bytes - m.traffic.Out[p].Bytes, Messages: now.Out[p].Messages - m.traffic.Out[p].Messages}
 	}
+	s.traffic.Strangers = hollow.Count{Bytes: now.Strangers.Bytes - m.traffic.Strangers.Bytes, Messages: now.Strangers.Messages - m.traffic.Strangers.Messages}
 	s.late, s.lateMost = m.late.stop()
 	if m.profile != nil {
 		pprof.StopCPUProfile()
--- /dev/null
+++ b/internal/scale/real_test.go
@@ -0,0 +1,189 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"brookferry/internal/fleet/member"
+	"brookferry/internal/scale/hollow"
+)
+
+func realTable(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "martenbeam")
+	if text, err := exec.Command("go", "build", "-o", program, "brookferry/cmd/martenbeam").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	for _, n := range sized(t, 16) {
+		for run := range ran() {
+			real := 12
+			if !*full {
+				real = 2
+			}
+			t.Run(fmt.Sprintf("%d-%d", n, run), func(t *testing.T) { keep(t, realAmongHollow(t, program, hollow.Mode(*mode), n-real, real, run)) })
+		}
+	}
+}
+
+// agentConfig is a real agent's configuration that shares what a hollow one does.
+func (c *crew) agentConfig(i int) string {
+	var known []string
+	for _, a := range c.agents[:min(seeds, c.n)] {
+		known = append(known, strconv.Quote(a.Addr()))
+	}
+	var names []string
+	for _, z := range zones {
+		names = append(names, strconv.Quote(z))
+	}
+	return fmt.Sprintf(`name = %q
+listen = "127.0.0.1:0"
+discovery = %q
+lists = "asked"
+zones = [%s]
+zone = %q
+[fleet]
+listen = "127.0.0.1:0"
+seeds = [%s]
+label = %q
+most = %d
+lists = "relayed"
+matrix = true
+[residency]
+on = true
+[attempts]
+probes = false
+[[class]]
+name = "get"
+effect = "safe"
+aim = "1s"
+deadline = "2s"
+`, c.name(i), c.service.addr, strings.Join(names, ", "), zones[i%len(zones)], strings.Join(known, ", "), c.label, c.n+c.others)
+}
+
+// used is the processor time of a process, and its resident memory, kB.
+func used(pid int) (cpu time.Duration, rss float64, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) < 22 {
+		return 0, 0, fmt.Errorf("a stat of %d fields", len(fields))
+	}
+	const tick = 10 * time.Millisecond // USER_HZ is 100 everywhere
+	for _, k := range []int{11, 12} {
+		n, err := strconv.ParseInt(fields[k], 10, 64)
+		if err != nil {
+			return 0, 0, err
+		}
+		cpu += time.Duration(n) * tick
+	}
+	pages, err := strconv.ParseFloat(fields[21], 64)
+	return cpu, pages * float64(os.Getpagesize()) / 1e3, err
+}
+
+// realAmongHollow holds real agents' processes against the hollow ones of the same fleet, idle: what they use, and what one
+// sends to a hollow one.
+func realAmongHollow(t *testing.T, program string, mode hollow.Mode, n, real, run int) row {
+	c := newCrew(t, mode, n, true)
+	c.others = real
+	r := row{Table: "real", Mode: string(mode), N: n + real, Matrix: true, Run: run, Case: fmt.Sprintf("%d real among hollow ones", real)}
+	c.startAll(time.Duration(n) * *pace)
+	var processes []*exec.Cmd
+	dir := t.TempDir()
+	for i := n; i < n+real; i++ {
+		file := filepath.Join(dir, c.name(i)+".toml")
+		if err := os.WriteFile(file, []byte(c.agentConfig(i)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		log, err := os.Create(filepath.Join(dir, c.name(i)+".log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(program, "agent", "--config", file)
+		cmd.Stdout, cmd.Stderr, cmd.Dir = log, log, dir
+		err = cmd.Start()
+		log.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			_ = cmd.Process.Kill() // ended already if it fails
+			_ = cmd.Wait()         // killed
+		})
+		processes = append(processes, cmd)
+	}
+	if why := c.begun(); why != "" {
+		for i := n; i < n+real; i++ {
+			text, _ := os.ReadFile(filepath.Join(dir, c.name(i)+".log")) // "" tells as much
+			t.Logf("%s: %s", c.name(i), text[:min(len(text), 1000)])
+		}
+		r.Void = why
+		return r
+	}
+	serving := func() bool { // the real ones have a list
+		for _, m := range c.agents[0].Members() {
+			if m.Phase != member.Serving {
+				return false
+			}
+		}
+		return true
+	}
+	for end := time.Now().Add(patience); !serving(); time.Sleep(pollEvery) {
+		if time.Now().After(end) {
+			r.Void = "not whole: a real agent has no list"
+			return r
+		}
+	}
+	settle, measure := 100*time.Millisecond, time.Second
+	if *full {
+		settle, measure = *warm, 2**window // a real agent's time is counted in ticks of 10 ms
+	}
+	time.Sleep(settle) // what a start leaves is not an idle agent's
+	usage := func() (cpu time.Duration, rss float64) {
+		for _, p := range processes {
+			one, mem, err := used(p.Process.Pid)
+			if err != nil {
+				t.Fatal(err)
+			}
+			cpu, rss = cpu+one, rss+mem/float64(real)
+		}
+		return cpu, rss
+	}
+	before, _ := usage()
+	m := c.measure(false)
+	time.Sleep(measure) // the span that is measured
+	s := m.end()
+	after, rss := usage()
+	r.Void = s.void
+	var came, sent int64 // datagrams and streams
+	for p := range s.traffic.In {
+		came, sent = came+s.traffic.In[p].Bytes, sent+s.traffic.Out[p].Bytes
+	}
+	took := s.took.Seconds()
+	// Targets are drawn evenly: what one agent sends to one other is what kinds can be held against each other by.
+	fromReal := float64(s.traffic.Strangers.Bytes) / float64(real*n) / took
+	fromHollow := float64(came-s.traffic.Strangers.Bytes) / float64(n*(n-1)) / took
+	r.Values = map[string]float64{
+		"processor us/s, hollow": s.processor.Seconds() * 1e6 / float64(n) / took, "processor us/s, real": (after - before).Seconds() * 1e6 / float64(real) / took,
+		"bytes/s from one to one, hollow": fromHollow, "bytes/s from one to one, real": fromReal, "bytes/s out, hollow": float64(sent) / float64(n) / took,
+		"resident kB, real": rss, "timers late ms p99": s.late.Seconds() * 1e3,
+	}
+	v := r.Values
+	v["processor, real to hollow"] = v["processor us/s, real"] / v["processor us/s, hollow"]
+	v["bytes, real to hollow"] = fromReal / fromHollow
+	for _, k := range []string{"processor, real to hollow", "bytes, real to hollow"} {
+		if v[k] < 0.8 || v[k] > 1.2 {
+			t.Logf("n=%d, %s: %.2f, beyond 20%%", n+real, k, v[k])
+		}
+	}
+	if fromReal <= 0 || fromHollow <= 0 {
+		t.Errorf("nothing was heard of real agents (%v) or of hollow ones (%v)", fromReal, fromHollow)
+	}
+	return r
+}
