--- a/internal/scale/measure_test.go
+++ b/internal/scale/measure_test.go
@@ -29,6 +29,25 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// stolen is how much of its processors' time the machine was not given by its host, and of how much.
+func stolen() (steal, all float64) {
+	text, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, 0
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	for i, field := range strings.Fields(line)[1:] {
+		n, _ := strconv.ParseFloat(field, 64) // 0 if it is odd
+		if i < 8 {                            // guests' time is in users' already
+			all += n
+		}
+		if i == 7 {
+			steal = n
+		}
+	}
+	return steal, all
+}
+
 // resident is this process's resident memory, bytes.
 func resident() float64 {
 	text, err := os.ReadFile("/proc/self/statm")
@@ -98,6 +117,7 @@
 	parts     map[string]time.Duration // processor time by part; nil: no profile
 	late      time.Duration            // p99
 	lateMost  time.Duration
+	steal     float64 // share of the machine's processors that its host gave to others
 	void      string
 }
 
@@ -108,6 +128,8 @@
 	cpu     time.Duration
 	traffic hollow.Traffic
 	late    *lateness
+	steal   float64
+	all     float64
 	profile *bytes.Buffer
 }
 
@@ -120,6 +142,7 @@
 			c.t.Fatal(err)
 		}
 	}
+	m.steal, m.all = stolen()
 	m.began, m.cpu = time.Now(), processor()
 	return m
 }
@@ -132,6 +155,9 @@
 		s.traffic.Out[p] = hollow.Count{Bytes: now.Out[p].Bytes - m.traffic.Out[p].Bytes, Messages: now.Out[p].Messages - m.traffic.Out[p].Messages}
 	}
 	s.traffic.Strangers = hollow.Count{Bytes: now.Strangers.Bytes - m.traffic.Strangers.Bytes, Messages: now.Strangers.Messages - m.traffic.Strangers.Messages}
+	if steal, all := stolen(); all > m.all {
+		s.steal = (steal - m.steal) / (all - m.all)
+	}
 	s.late, s.lateMost = m.late.stop()
 	if m.profile != nil {
 		pprof.StopCPUProfile()
@@ -143,9 +169,9 @@
 	busy := s.processor.Seconds() / s.took.Seconds() / float64(runtime.NumCPU())
 	switch {
 	case busy > mostBusy:
-		s.void = fmt.Sprintf("processor %.0f%% busy", 100*busy)
+		s.void = fmt.Sprintf("processor %.0f%% busy, %.0f%% stolen by the host", 100*busy, 100*s.steal)
 	case s.late > mostLate:
-		s.void = fmt.Sprintf("timers late: p99 %v", s.late.Round(time.Millisecond))
+		s.void = fmt.Sprintf("timers late: p99 %v, processor %.0f%% busy, %.0f%% stolen by the host", s.late.Round(time.Millisecond), 100*busy, 100*s.steal)
 	}
 	return s
 }
--- a/internal/scale/tables_test.go
+++ b/internal/scale/tables_test.go
@@ -304,6 +304,7 @@
 	v["heap kB"] = (heap - heap0) / 1e3 / float64(n)
 	v["resident kB"] = (rss - rss0) / 1e3 / float64(n)
 	v["goroutines"] = float64(tasks-tasks0) / float64(n)
+	v["stolen by the host %"] = 100 * s.steal
 	v["timers late ms p99"] = s.late.Seconds() * 1e3
 	return r
 }
