Take operators' calls once the module has the first list

Cause: a call that was there before the loop's first step went ahead of the list in it (takeCall puts calls first), and was told 404 for a backend that the agent knew. Ruled out: the list itself (it is taken before the loop runs), the hand-over (there is none there). The loop takes calls from after its first step on.

--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -169,6 +170,36 @@
 	}
 }
 
+// A call that is there before the module's first step is for a backend that the agent knows. Which of two that are ready the
+// loop takes first is chance, so it is tried often.
+func TestDetachBeforeTheFirstStep(t *testing.T) {
+	for range 20 {
+		one := serveRaw(t, func(int) string { return ok200 })
+		a, err := New(t.Context(), testConfig(t, setup{servers: []member{one.member("one")}}), quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.loop.take(a.discovery.Known(a.cfg.Known))
+		ctx, end := context.WithTimeout(t.Context(), patience)
+		ready, taken := make(chan struct{}), make(chan bool)
+		go func() {
+			close(ready)
+			ok, _ := a.loop.call(ctx, &call{backend: "one", detach: true})
+			taken <- ok
+		}()
+		<-ready
+		runtime.Gosched() // it is at the loop's door most times
+		go a.loop.run(ctx)
+		if !<-taken {
+			t.Error("nobody has the backend")
+		}
+		end()
+		<-a.loop.stopped
+		a.listener.Close()
+		a.backends.close()
+	}
+}
+
 // Yes to detach means that nothing goes there any more; the call back ends it.
 func TestDetachOverTheDoor(t *testing.T) {
 	one := serveRaw(t, func(int) string { return ok200 })
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -200,6 +200,7 @@
 func (l *loop) run(ctx context.Context) {
 	defer l.end()
 	var last time.Duration
+	var calls chan *call // none before the module has the list: it would say that nobody has the backend
 	wake := time.NewTimer(0)
 	summary := time.NewTicker(summaryEvery)
 	defer summary.Stop()
@@ -220,7 +221,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case c := <-l.calls:
+		case c := <-calls:
 			l.takeCall(c)
 		case e := <-l.events:
 			l.take(e)
@@ -260,6 +261,7 @@
 		for _, a := range l.balancer.Step(now, events) {
 			l.carryOut(a, now)
 		}
+		calls = l.calls
 	}
 }
 
