--- a/internal/fleet/spoke/hardwatch_test.go
+++ b/internal/fleet/spoke/hardwatch_test.go
@@ -41,6 +41,8 @@
 	uses    int
 	matched int // of these, whose telling was read
 	samples int
+	least   float64 // no part may be less; 0: it is not looked at
+	living  bool    // nobody is dead: none may say so
 	sum     float64 // the highest
 	wrong   []string
 }
@@ -97,6 +99,13 @@
 	w.alive[name] = known
 }
 
+// hold has more be looked at from now on.
+func (w *watch) hold(least float64, living bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.least, w.living = least, living
+}
+
 func (w *watch) dead(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -113,6 +122,12 @@
 		for name, known := range w.alive {
 			k := known()
 			sum += max(0, k.Part)
+			if w.least > 0 && k.Part < w.least {
+				w.fault("%s has a part of %v", name, k.Part)
+			}
+			if w.living && k.Census.Gone > 0 {
+				w.fault("%s was told that %d are dead, and all live", name, k.Census.Gone)
+			}
 			was := w.newest[name]
 			if k.Settings < was[0] || k.Policy < was[1] {
 				w.fault("%s went back from settings %d, policy %d to %d, %d", name, was[0], was[1], k.Settings, k.Policy)
