--- a/cmd/martenbeam/compare.go
+++ b/cmd/martenbeam/compare.go
@@ -22,6 +22,7 @@
 	Scenario string  `arg:"" help:"A built-in scenario's name, or a .toml file."`
 	A        string  `help:"The agent's program to compare with. Default: this program's agent, which makes sense with --apart." placeholder:"PATH"`
 	Apart    bool    `help:"The agents of A share nothing, those of B what the scenario says."`
+	Hubs     int     `help:"The agents of B hold to so many hubs, those of A are a flat fleet. 0: both as the scenario says." placeholder:"N"`
 	B        string  `help:"The other one; the difference is B less A. Default: this program's agent." placeholder:"PATH"`
 	Seeds    string  `help:"Seeds, such as 1-5 or 1,4,9. Both versions play each." default:"1-5"`
 	Parallel int     `help:"Pairs played at a time. More than the processors bear shows as void runs." default:"1"`
@@ -58,8 +59,8 @@
 	if err != nil {
 		return usageError{err}
 	}
-	if c.A == "" && !c.Apart {
-		return usageError{fmt.Errorf("--a: name a program to compare with, or --apart for this one whose agents share nothing")}
+	if c.A == "" && !c.Apart && c.Hubs == 0 {
+		return usageError{fmt.Errorf("--a: name a program to compare with, or --apart for this one whose agents share nothing, or --hubs for a flat fleet")}
 	}
 	if c.Parallel < 1 {
 		return usageError{fmt.Errorf("--parallel: %d is not at least 1", c.Parallel)}
@@ -143,7 +144,10 @@
 	}
 	for _, side := range order {
 		f := fleetFlags{Agents: c.Agents, Backends: c.Backends, Rate: c.Rate, AgentBin: map[string]string{"a": c.A, "b": c.B}[side],
-			Apart: c.Apart && side == "a"}
+			Apart: c.Apart && side == "a", Hubs: -1}
+		if c.Hubs > 0 {
+			f.Hubs = map[string]int{"a": 0, "b": c.Hubs}[side]
+		}
 		s, err := scenario.Read(c.Scenario)
 		if err == nil {
 			err = f.apply(s)
--- a/cmd/martenbeam/lab.go
+++ b/cmd/martenbeam/lab.go
@@ -46,6 +46,7 @@
 	Rate     float64       `help:"Requests a second over all agents. 0: as the scenario says." placeholder:"R"`
 	For      time.Duration `help:"How long clients send, such as 20s. 0: as the scenario says." placeholder:"D"`
 	Apart    bool          `help:"The agents share nothing: no fleet, no policy."`
+	Hubs     int           `help:"Hubs, each a process; 0: a flat fleet, -1: as the scenario says." default:"-1" placeholder:"N"`
 	AgentBin string        `help:"Another agent's program, started as the platform does. Default: this one." placeholder:"PATH"`
 	Dir      string        `help:"Where agents have their files; kept. Default: a temporary folder, removed." placeholder:"DIR"`
 }
@@ -67,6 +68,9 @@
 	if f.Apart {
 		s.Apart()
 	}
+	if f.Hubs >= 0 {
+		s.WithHubs(f.Hubs)
+	}
 	return s.Check()
 }
 
@@ -83,7 +87,13 @@
 	return []string{self, "agent"}, err
 }
 
-// folder is where agents have their files, and what removes it.
+// hub is the command line of a hub's process.
+func (f *fleetFlags) hub() ([]string, error) {
+	self, err := os.Executable()
+	return []string{self, "hub"}, err
+}
+
+// folder is where processes have their files, and what removes it.
 func (f *fleetFlags) folder() (dir string, remove func(), err error) {
 	if f.Dir != "" {
 		return f.Dir, func() {}, nil
@@ -139,12 +149,16 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
+	hub, err := f.hub()
+	if err != nil {
+		return nil, err
+	}
 	dir, remove, err := f.folder()
 	if err != nil {
 		return nil, err
 	}
 	defer remove()
-	opts := lab.Options{Scenario: s, Seed: seed, Agent: agent, Dir: dir, Events: events}
+	opts := lab.Options{Scenario: s, Seed: seed, Agent: agent, Hub: hub, Dir: dir, Events: events}
 	if progress {
 		table := newTable(o.stdout, false)
 		opts.Second = table.second
@@ -175,8 +189,12 @@
 		fmt.Fprintln(o.stderr, "crashed:", r.Crash)
 		return codeError(exitCrashed)
 	case lab.Broken:
-		v := r.Rules.First
-		fmt.Fprintf(o.stderr, "broken %d times, first at %.3f s: %s: %s\n", r.Rules.Broken, v.At.Seconds(), v.Rule, v.Text)
+		if v := r.Rules.First; v != nil {
+			fmt.Fprintf(o.stderr, "broken %d times, first at %.3f s: %s: %s\n", r.Rules.Broken, v.At.Seconds(), v.Rule, v.Text)
+		}
+		if r.Rules.Shared != "" {
+			fmt.Fprintln(o.stderr, "broken:", r.Rules.Shared)
+		}
 		if r.Rules.History != nil {
 			lab.WriteHistory(o.stderr, r.Rules.History)
 		}
@@ -212,6 +230,13 @@
 	}
 	fmt.Fprintf(w, "  latency of what was served: p50 %.0f ms, p99 %.0f ms, p99.9 %.0f ms\n", r.Latency.P50, r.Latency.P99, r.Latency.P999)
 	fmt.Fprintf(w, "  agents: at most %.0f MB and %d descriptors, %.1f processor seconds together\n", r.Agent.RSS, r.Agent.FDs, r.Agent.CPU)
+	if h := r.Hubs; h != nil {
+		fmt.Fprintf(w, "  %d hubs: at most %.0f MB and %d descriptors, %.1f processor seconds together, %.0f bytes a second each\n", h.Hubs, h.RSS, h.FDs, h.CPU, h.Bytes)
+	}
+	if s := r.Shared; s != nil && s.Settings != nil {
+		fmt.Fprintf(w, "  settings: %d given, at the last agent after %.1f s (%.1f s in reach of a hub); behind at the end: %d\n", s.Settings.Given, s.Settings.After,
+			s.Settings.Reach, s.Settings.Behind)
+	}
 	fmt.Fprintf(w, "  lab late by p50 %.2f ms, p99 %.2f ms; cold backends pushed over: %d\n", r.Late.P50, r.Late.P99, r.FallOvers)
 	fmt.Fprintf(w, "  rules: %s\n", r.Verdict)
 }
--- a/cmd/martenbeam/up.go
+++ b/cmd/martenbeam/up.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	f := fleetFlags{Agents: c.Agents, Backends: c.Backends, Rate: c.Rate, AgentBin: c.AgentBin}
+	f := fleetFlags{Agents: c.Agents, Backends: c.Backends, Rate: c.Rate, Hubs: -1, AgentBin: c.AgentBin}
 	if err := f.apply(s); err != nil {
 		return usageError{err}
 	}
@@ -44,6 +44,10 @@
 	if err != nil {
 		return usageError{err}
 	}
+	hub, err := f.hub()
+	if err != nil {
+		return err
+	}
 	dir, remove, err := f.folder()
 	if err != nil {
 		return err
@@ -52,7 +56,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	table := newTable(o.stdout, terminal(o.stdout))
-	l, err := lab.New(lab.Options{Scenario: s, Seed: c.Seed, Agent: agent, Dir: dir, Visitors: true, Second: table.second,
+	l, err := lab.New(lab.Options{Scenario: s, Seed: c.Seed, Agent: agent, Hub: hub, Dir: dir, Visitors: true, Second: table.second,
 		Ready: func(l *lab.Lab) {
 			table.header(fmt.Sprintf(`%d agents, %d backends in %d zones, %.0f requests a second. Ctrl-C ends it. Send one by hand:
 
--- a/internal/lab/addr.go
+++ b/internal/lab/addr.go
@@ -47,6 +47,10 @@
 // world is the address at which agent n meets everyone else. They differ by port.
 func (b *block) world(n int) string { return fmt.Sprintf("127.%d.%d.%d", b.n, 101+n/250, 1+n%250) }
 
+// hub is the address of hub n itself, and hubLink where it is reached and meets everyone else.
+func (b *block) hub(n int) string     { return fmt.Sprintf("127.%d.201.%d", b.n, 1+n) }
+func (b *block) hubLink(n int) string { return fmt.Sprintf("127.%d.211.%d", b.n, 1+n) }
+
 // gate is a listener that can refuse connections, or leave them hanging as a network does that drops the
 // opening segment.
 type gate struct {
--- a/internal/lab/backends.go
+++ b/internal/lab/backends.go
@@ -96,7 +96,10 @@
 	if l.fleet == nil {
 		return nil
 	}
-	return l.fleet.mine[c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()]
+	if e := l.fleet.mine[c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()]; e != nil && e.Role == link.Member {
+		return l.agents[e.N]
+	}
+	return nil
 }
 
 // close refuses connections from now on, and resets those that stand if wanted.
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -68,20 +68,33 @@
 		d.changes = append(d.changes, change{host: h, state: "ready", started: h.m.Started, learned: -time.Hour})
 	}
 	for n := range l.agents {
-		g, err := newGate(l.block.world(n), func(c net.Conn) net.Conn { return c })
-		if err != nil {
+		if err := d.open(l.block.world(n), party(link.Agent, n), n); err != nil {
+			return nil, err
+		}
+	}
+	for n := range l.hubs {
+		if err := d.open(l.block.hubLink(n), party(link.Hub, n), len(l.agents)+n); err != nil {
 			return nil, err
 		}
-		s := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			d.serve(w, r, l.agents[n])
-		})}
-		d.gates, d.servers = append(d.gates, g), append(d.servers, s)
-		l.running.Go(func() { _ = s.Serve(g) }) // ends with close
 	}
 	return d, nil
 }
 
-func (d *discovery) addr(agent int) string { return d.gates[agent].Addr().String() }
+// open opens the copy of a caller, which has a number among all of them.
+func (d *discovery) open(ip string, caller link.Party, n int) error {
+	g, err := newGate(ip, func(c net.Conn) net.Conn { return c })
+	if err != nil {
+		return err
+	}
+	s := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.serve(w, r, caller, n)
+	})}
+	d.gates, d.servers = append(d.gates, g), append(d.servers, s)
+	d.lab.running.Go(func() { _ = s.Serve(g) }) // ends with close
+	return nil
+}
+
+func (d *discovery) addr(caller int) string { return d.gates[caller].Addr().String() }
 
 func (d *discovery) close() {
 	for i := range d.servers {
@@ -133,15 +146,15 @@
 	d.changed = make(chan struct{})
 }
 
-// spread is how much later an agent's copy hears.
-func (d *discovery) spread(agent int) time.Duration {
-	r := d.lab.rng.Of("spread", agent)
+// spread is how much later a caller's copy hears.
+func (d *discovery) spread(caller int) time.Duration {
+	r := d.lab.rng.Of("spread", caller)
 	return time.Duration((16 + 80*r.Float64()) * float64(time.Millisecond))
 }
 
-// visible is the version that an agent's copy has by now, and when it will have the next; negative: none is due.
-func (d *discovery) visible(a *agent, now time.Duration) (version int64, next time.Duration) {
-	spread := d.spread(a.n)
+// visible is the version that a caller's copy has by now, and when it will have the next; negative: none is due.
+func (d *discovery) visible(caller int, now time.Duration) (version int64, next time.Duration) {
+	spread := d.spread(caller)
 	for i, c := range d.changes {
 		if c.learned+spread > now {
 			return d.base + int64(i), c.learned + spread
@@ -151,12 +164,12 @@
 }
 
 // list is what holds between two versions: everything, if full.
-func (d *discovery) list(a *agent, from, to int64, full bool) members {
+func (d *discovery) list(caller int, from, to int64, full bool) members {
 	m := members{Version: to, Full: full, Servers: []member{}}
 	at := map[string]int{}
 	for _, c := range d.changes[from-d.base : to-d.base] {
 		spec := &c.host.m.Spec
-		s := member{ID: spec.ID, Addr: c.host.addr(a.n), Zone: d.lab.Scenario.Fleet.Zones[spec.Zone],
+		s := member{ID: spec.ID, Addr: c.host.addr(caller), Zone: d.lab.Scenario.Fleet.Zones[spec.Zone],
 			Kind: machineKinds[spec.Kind].name, Cell: spec.Cell, State: c.state, Weight: spec.Weight}
 		if c.started >= 0 {
 			s.Started = d.lab.wall(c.started).UnixMilli()
@@ -177,7 +190,7 @@
 // addr is where an agent finds the backend: at an address of its own, so that the network can tell agents apart, but for
 // lists that agents hand on to each other.
 func (h *host) addr(agent int) string {
-	if h.lab.Scenario.Shared.Relayed {
+	if h.lab.Scenario.Shared.Relayed || agent >= len(h.gates) { // a hub has no need of one
 		agent = 0
 	}
 	return h.gates[agent].Addr().String()
@@ -185,7 +198,7 @@
 
 // known is the whole list as an agent's copy has it, and counts it as told. The lab's lock is held.
 func (d *discovery) known(a *agent, now time.Duration) members {
-	v, _ := d.visible(a, now)
+	v, _ := d.visible(a.n, now)
 	switch d.lab.Scenario.Lists.Known {
 	case "none":
 		return members{Servers: []member{}}
@@ -197,20 +210,23 @@
 			}
 		}
 	}
-	m := d.list(a, d.base, v, true)
-	d.tell(a, d.base, v, now)
+	m := d.list(a.n, d.base, v, true)
+	d.tell(a.n, d.base, v, now)
 	return m
 }
 
-// tell tells the checker what is written to an agent.
-func (d *discovery) tell(a *agent, from, to int64, now time.Duration) {
+// tell tells the checker what is written to an agent; a hub has nothing to send to backends.
+func (d *discovery) tell(caller int, from, to int64, now time.Duration) {
+	if caller >= len(d.lab.agents) {
+		return
+	}
 	for _, c := range d.changes[from-d.base : to-d.base] {
-		d.lab.check.Tell(now, a.n, c.host.m.ID, c.state != "ready", c.started)
+		d.lab.check.Tell(now, caller, c.host.m.ID, c.state != "ready", c.started)
 	}
 }
 
-// serve answers one agent's call.
-func (d *discovery) serve(w http.ResponseWriter, r *http.Request, a *agent) {
+// serve answers one caller's call.
+func (d *discovery) serve(w http.ResponseWriter, r *http.Request, caller link.Party, n int) {
 	l := d.lab
 	if r.URL.Path != "/catalog/members" {
 		http.NotFound(w, r)
@@ -235,12 +251,12 @@
 	for {
 		l.mu.Lock()
 		now := l.now()
-		mute := d.silent || l.net.Fault(party(link.Discovery, a.n), party(link.Agent, a.n), link.TCP).Cut
+		mute := d.silent || l.net.Fault(party(link.Discovery, n), caller, link.TCP).Cut
 		if epoch == -1 && !mute {
 			epoch = d.epoch
 		}
 		ended := epoch != -1 && epoch != d.epoch || l.closing
-		v, next := d.visible(a, now)
+		v, next := d.visible(n, now)
 		var line []byte
 		if !mute && !ended && (v != since || since == 0) {
 			full := since < d.base || since > v
@@ -248,14 +264,14 @@
 			if full {
 				from = d.base
 			}
-			line, _ = json.Marshal(d.list(a, from, v, full)) // it holds nothing that can't be written
+			line, _ = json.Marshal(d.list(n, from, v, full)) // it holds nothing that can't be written
 			if l.Scenario.Lists.Indented {
 				var text bytes.Buffer
 				_ = json.Indent(&text, line, " ", "\t") // it is what was just written
 				line = text.Bytes()
 			}
 			d.lists.bytes += len(line)
-			d.tell(a, from, v, now)
+			d.tell(n, from, v, now)
 			since = v
 		}
 		changed := d.changed
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -62,6 +62,29 @@
 	return list
 }
 
+// pickHubs picks among the hubs.
+func (l *Lab) pickHubs(fault int, text string) (list []*hub) {
+	set, _ := scenario.ParseSet(text) // checked with the scenario
+	for _, n := range l.pick(fault, set, len(l.hubs), func(n int) int { return l.zone(party(link.Hub, n)) }) {
+		list = append(list, l.hubs[n])
+	}
+	return list
+}
+
+// pickProcesses picks agents or hubs.
+func (l *Lab) pickProcesses(fault int, text string) (list []*process) {
+	if set, _ := scenario.ParseSet(text); set.Kind == "hubs" {
+		for _, h := range l.pickHubs(fault, text) {
+			list = append(list, &h.process)
+		}
+		return list
+	}
+	for _, a := range l.pickAgents(fault, text) {
+		list = append(list, &a.process)
+	}
+	return list
+}
+
 // pickHosts picks among the backends that are in use.
 func (l *Lab) pickHosts(fault int, text string) (list []*host) {
 	set, _ := scenario.ParseSet(text)
@@ -113,6 +136,8 @@
 		l.power(i, f, now)
 	case scenario.Policy:
 		l.givePolicy(i, f, now)
+	case scenario.Settings:
+		l.giveSettings(i, f, now)
 	case scenario.ListSilent:
 		l.disc.silent, l.disc.upset = true, time.Hour
 		l.until(f, now, func(now time.Duration) {
@@ -167,6 +192,11 @@
 			l.disc.upset = end
 		}
 	}
+	for _, h := range l.hubs {
+		if l.net.Shut(party(link.Hub, h.n), party(link.Discovery, len(l.agents)+h.n)) {
+			l.disc.upset = end
+		}
+	}
 	l.until(f, now, func(now time.Duration) {
 		for _, n := range numbers {
 			l.net.Remove(n)
@@ -183,8 +213,13 @@
 	in := func(text string) func(link.Party) bool {
 		set, _ := scenario.ParseSet(text)
 		role, n := set.Role(), len(l.agents)
-		if role == link.Backend {
+		switch role {
+		case link.Backend:
 			n = len(l.hosts)
+		case link.Hub:
+			n = len(l.hubs)
+		case link.Discovery:
+			n += len(l.hubs) // each has its own copy
 		}
 		picked := map[int]bool{}
 		for _, k := range l.pick(i, set, n, func(k int) int { return l.zone(party(role, k)) }) {
@@ -227,6 +262,11 @@
 		}
 		jobs = append(jobs, job{l.disc.gates[a.n], l.net.Shut(me, party(link.Discovery, a.n))})
 	}
+	for _, h := range l.hubs {
+		if n := len(l.agents) + h.n; n < len(l.disc.gates) {
+			jobs = append(jobs, job{l.disc.gates[n], l.net.Shut(party(link.Hub, h.n), party(link.Discovery, n))})
+		}
+	}
 	l.running.Go(func() {
 		l.gateLock.Lock()
 		defer l.gateLock.Unlock()
@@ -274,17 +314,28 @@
 	})
 }
 
-// power takes a zone's agents and machines at once, and brings them back together, cold and knowing nothing. The lock is
+// power takes a zone's hub, agents and machines at once, and brings them back together, cold and knowing nothing. The lock is
 // held.
 func (l *Lab) power(i int, f *scenario.Fault, now time.Duration) {
 	set, _ := scenario.ParseSet(f.Who)
 	l.zoneLost(f, now)
 	down := *f
 	down.What, down.After, down.Restart = scenario.Kill, f.For, "empty"
+	var list []*process
+	for _, h := range l.hubs {
+		if set.Has(h.n, l.zone(party(link.Hub, h.n))) {
+			list = append(list, &h.process)
+		}
+	}
 	for _, a := range l.agents {
-		if set.Has(a.n, l.zone(party(link.Agent, a.n))) && a.cmd != nil && !a.expected {
-			l.check.Down(a.n, now)
-			l.finish(a, &down, now, syscall.SIGKILL)
+		if set.Has(a.n, l.zone(party(link.Agent, a.n))) {
+			list = append(list, &a.process)
+		}
+	}
+	for _, p := range list {
+		if p.cmd != nil && !p.expected {
+			p.role.down(now)
+			l.finish(p, &down, now, syscall.SIGKILL)
 		}
 	}
 }
@@ -359,40 +410,40 @@
 	}
 }
 
-// processes kills, ends or stops agents. The lock is held.
+// processes kills, ends or stops agents or hubs. The lock is held.
 func (l *Lab) processes(i int, f *scenario.Fault, now time.Duration) {
-	list := l.pickAgents(i, f.Who)
-	for k, a := range list {
+	list := l.pickProcesses(i, f.Who)
+	for k, p := range list {
 		l.at(now+stepOf(f, k, len(list)), func(now time.Duration) {
-			if a.cmd == nil || a.expected {
+			if p.cmd == nil || p.expected {
 				return
 			}
 			switch f.What {
 			case scenario.Stop:
-				l.stop(a, f, now)
+				l.stop(p, f, now)
 			case scenario.Kill:
-				l.check.Down(a.n, now)
-				l.finish(a, f, now, syscall.SIGKILL)
+				p.role.down(now)
+				l.finish(p, f, now, syscall.SIGKILL)
 			case scenario.Term:
-				l.finish(a, f, now, syscall.SIGTERM)
+				l.finish(p, f, now, syscall.SIGTERM)
 			}
 		})
 	}
 }
 
 // stop stops a process for a while. Its kernel still takes connections. The lock is held.
-func (l *Lab) stop(a *agent, f *scenario.Fault, now time.Duration) {
-	cmd := a.cmd
-	l.check.Excuse(a.n, now, now+f.For.D()+pauseSlack)
+func (l *Lab) stop(p *process, f *scenario.Fault, now time.Duration) {
+	cmd := p.cmd
+	p.role.excuse(now, now+f.For.D()+pauseSlack)
 	if err := cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		l.fail(err)
 		return
 	}
-	a.up = false
+	p.up = false
 	l.until(f, now, func(now time.Duration) {
-		if a.cmd == cmd && !a.expected {
+		if p.cmd == cmd && !p.expected {
 			_ = cmd.Process.Signal(syscall.SIGCONT) // ended meanwhile if it fails
-			a.up = true
+			p.up = true
 		}
 	})
 }
@@ -404,9 +455,9 @@
 const killAfter = 700 * time.Millisecond
 
 // finish ends a process, and starts it anew if wanted. The lock is held.
-func (l *Lab) finish(a *agent, f *scenario.Fault, now time.Duration, sig syscall.Signal) {
-	cmd, ended := a.cmd, a.ended
-	a.expected, a.up = true, false
+func (l *Lab) finish(p *process, f *scenario.Fault, now time.Duration, sig syscall.Signal) {
+	cmd, ended := p.cmd, p.ended
+	p.expected, p.up = true, false
 	if err := cmd.Process.Signal(sig); err != nil {
 		l.fail(err)
 		return
@@ -427,6 +478,6 @@
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.at(l.now()+f.After.D(), func(now time.Duration) { a.restart(now, f.Restart == "kept") })
+		l.at(l.now()+f.After.D(), func(now time.Duration) { p.restart(now, f.Restart == "kept") })
 	})
 }
--- a/internal/lab/fleetlinks.go
+++ b/internal/lab/fleetlinks.go
@@ -7,64 +7,84 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"brookferry/internal/lab/link"
 )
 
-// fleetPort is where agents hear their fleet, and where the lab hears for them.
+// fleetPort is where agents and hubs hear their fleet, and where the lab hears for them.
 const fleetPort = 7947
 
-// fleetLinks carry what agents of a fleet tell each other, UDP and TCP, by way of the lab: to reach agent k is to reach
-// k's link, which knows the caller by its address. So the network's rules hold between processes that know nothing of it.
+// fleetLinks carry what agents and hubs of a fleet tell each other, UDP and TCP, by way of the lab: to reach a process is
+// to reach its link, which knows the caller by its address. So the network's rules hold between processes that know nothing
+// of it.
 type fleetLinks struct {
 	lab  *Lab
-	udp  []*net.UDPConn
-	tcp  []*net.TCPListener
-	mine map[netip.Addr]*agent // by the address that its process calls from
+	ends []*fleetEnd
+	mine map[netip.Addr]*fleetEnd // by the address that its process calls from
 
 	mu    sync.Mutex
-	bytes int // told between agents
+	bytes int // told to or by agents
+	hubs  int // told to or by hubs, twice what is told between two
 	conns map[net.Conn]bool
 	took  map[wayKey][]time.Duration // what datagrams took here, at most mostTook
 }
 
+// fleetEnd is one process as its fleet meets it, and its link.
+type fleetEnd struct {
+	link.Party
+	name string // in draws
+	at   netip.AddrPort
+	udp  *net.UDPConn
+	tcp  *net.TCPListener
+}
+
 // wayKey names datagrams from one zone to another in a second of the run.
 type wayKey struct{ from, to, second int }
 
 const mostTook = 300
 
 func newFleetLinks(l *Lab) (*fleetLinks, error) {
-	f := &fleetLinks{lab: l, mine: map[netip.Addr]*agent{}, conns: map[net.Conn]bool{}, took: map[wayKey][]time.Duration{}}
+	f := &fleetLinks{lab: l, mine: map[netip.Addr]*fleetEnd{}, conns: map[net.Conn]bool{}, took: map[wayKey][]time.Duration{}}
 	for _, a := range l.agents {
-		f.mine[netip.MustParseAddr(l.block.agent(a.n))] = a
-		ip := net.ParseIP(l.block.world(a.n))
-		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip, Port: fleetPort})
-		if err != nil {
+		if err := f.open(party(link.Member, a.n), fmt.Sprint(a.n), l.block.agent(a.n), l.block.world(a.n)); err != nil {
 			return nil, err
 		}
-		_ = u.SetReadBuffer(1 << 20) // as large as the system allows
-		f.udp = append(f.udp, u)
-		t, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: ip, Port: fleetPort})
-		if err != nil {
+	}
+	for _, h := range l.hubs {
+		if err := f.open(party(link.Hub, h.n), h.name, l.block.hub(h.n), l.block.hubLink(h.n)); err != nil {
 			return nil, err
 		}
-		f.tcp = append(f.tcp, t)
 	}
-	for _, a := range l.agents {
-		l.running.Go(func() { f.carryDatagrams(a) })
-		l.running.Go(func() { f.carryStreams(a) })
+	for _, e := range f.ends {
+		l.running.Go(func() { f.carryDatagrams(e) })
+		l.running.Go(func() { f.carryStreams(e) })
 	}
 	return f, nil
 }
 
-func (f *fleetLinks) close() {
-	for i := range f.udp {
-		f.udp[i].Close()
+// open opens the link of a process that calls from one address and is reached at another.
+func (f *fleetLinks) open(p link.Party, name, at, reached string) error {
+	own, ip := netip.MustParseAddr(at), net.ParseIP(reached)
+	u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip, Port: fleetPort})
+	if err != nil {
+		return err
 	}
-	for i := range f.tcp {
-		f.tcp[i].Close()
+	_ = u.SetReadBuffer(1 << 20) // as large as the system allows
+	e := &fleetEnd{Party: p, name: name, at: netip.AddrPortFrom(own, fleetPort), udp: u}
+	f.ends, f.mine[own] = append(f.ends, e), e
+	e.tcp, err = net.ListenTCP("tcp4", &net.TCPAddr{IP: ip, Port: fleetPort})
+	return err
+}
+
+func (f *fleetLinks) close() {
+	for _, e := range f.ends {
+		e.udp.Close()
+		if e.tcp != nil {
+			e.tcp.Close()
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -73,16 +93,29 @@
 	}
 }
 
+// count counts what one end told another.
+func (f *fleetLinks) count(from, to *fleetEnd, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from.Role == link.Member || to.Role == link.Member {
+		f.bytes += n
+	}
+	for _, e := range []*fleetEnd{from, to} {
+		if e.Role == link.Hub {
+			f.hubs += n
+		}
+	}
+}
+
 // fleetAddr is where an agent's process hears its fleet, and fleetLink where the others reach it.
 func (l *Lab) fleetAddr(n int) string { return fmt.Sprintf("%s:%d", l.block.agent(n), fleetPort) }
 func (l *Lab) fleetLink(n int) string { return fmt.Sprintf("%s:%d", l.block.world(n), fleetPort) }
 
-func (f *fleetLinks) carryDatagrams(to *agent) {
+func (f *fleetLinks) carryDatagrams(to *fleetEnd) {
 	l := f.lab
-	target := netip.AddrPortFrom(netip.MustParseAddr(l.block.agent(to.n)), fleetPort)
 	buf := make([]byte, 64<<10)
 	for n := 0; ; n++ {
-		size, addr, err := f.udp[to.n].ReadFromUDPAddrPort(buf)
+		size, addr, err := to.udp.ReadFromUDPAddrPort(buf)
 		came := time.Now()
 		if err != nil {
 			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -95,15 +128,13 @@
 			continue
 		}
 		data := append([]byte(nil), buf[:size]...)
-		f.mu.Lock()
-		f.bytes += size
-		f.mu.Unlock()
+		f.count(from, to, size)
 		l.mu.Lock()
 		now := l.now()
-		for _, d := range l.net.Way(party(link.Member, from.n), party(link.Member, to.n), link.UDP, fmt.Sprintf("fleet/%d/%d/%d", from.n, to.n, n)) {
+		for _, d := range l.net.Way(from.Party, to.Party, link.UDP, fmt.Sprintf("fleet/%s/%s/%d", from.name, to.name, n)) {
 			l.at(now+d, func(time.Duration) {
-				_, _ = f.udp[from.n].WriteToUDPAddrPort(data, target) // a receiver that is gone misses it
-				f.note(wayKey{l.zone(party(link.Member, from.n)), l.zone(party(link.Member, to.n)), int(now / time.Second)}, time.Since(came))
+				_, _ = from.udp.WriteToUDPAddrPort(data, to.at) // a receiver that is gone misses it
+				f.note(wayKey{l.zone(from.Party), l.zone(to.Party), int(now / time.Second)}, time.Since(came))
 			})
 		}
 		l.mu.Unlock()
@@ -126,17 +157,21 @@
 	f.mu.Lock()
 	list := slices.Concat(f.took[wayKey{from, to, second - 1}], f.took[wayKey{from, to, second - 2}])
 	f.mu.Unlock()
-	if len(list) < 20 {
+	few := 20
+	if len(f.lab.hubs) > 0 { // they alone send datagrams
+		few = 6
+	}
+	if len(list) < few {
 		return 0, false
 	}
 	slices.Sort(list)
 	return list[len(list)/4], true
 }
 
-func (f *fleetLinks) carryStreams(to *agent) {
+func (f *fleetLinks) carryStreams(to *fleetEnd) {
 	l := f.lab
 	for {
-		c, err := f.tcp[to.n].AcceptTCP()
+		c, err := to.tcp.AcceptTCP()
 		if err != nil {
 			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
@@ -162,18 +197,17 @@
 	}
 }
 
-// fault is what the network does to the way from one agent to another now, and how long it takes.
-func (f *fleetLinks) fault(from, to *agent) (link.Fault, time.Duration) {
+// fault is what the network does to the way from one end to another now, and how long it takes.
+func (f *fleetLinks) fault(from, to *fleetEnd) (link.Fault, time.Duration) {
 	f.lab.mu.Lock()
 	defer f.lab.mu.Unlock()
-	me, it := party(link.Member, from.n), party(link.Member, to.n)
-	x := f.lab.net.Fault(me, it, link.TCP)
-	return x, f.lab.way(me, it) + x.Delay
+	x := f.lab.net.Fault(from.Party, to.Party, link.TCP)
+	return x, f.lab.way(from.Party, to.Party) + x.Delay
 }
 
 // carryStream carries one connection. Beyond a cut it hangs, as the opening segment would; where the other process is
 // gone its machine refuses, which a connection that was taken shows as a reset.
-func (f *fleetLinks) carryStream(c *net.TCPConn, from, to *agent) {
+func (f *fleetLinks) carryStream(c *net.TCPConn, from, to *fleetEnd) {
 	f.track(c, true)
 	defer f.track(c, false)
 	defer c.Close()
@@ -187,7 +221,7 @@
 			return
 		}
 	}
-	d, err := net.DialTimeout("tcp4", f.lab.fleetAddr(to.n), time.Second)
+	d, err := net.DialTimeout("tcp4", to.at.String(), time.Second)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			reset(c)
@@ -198,13 +232,15 @@
 	defer f.track(d, false)
 	defer d.Close()
 	var both sync.WaitGroup
-	both.Go(func() { f.copy(d, c, from, to) })
-	both.Go(func() { f.copy(c, d, to, from) })
+	var ended atomic.Int32 // ends of the two that were read
+	both.Go(func() { f.copy(d, c, from, to, &ended) })
+	both.Go(func() { f.copy(c, d, to, from, &ended) })
 	both.Wait()
 }
 
-// copy carries one direction. What a cut meets waits until it is over, as TCP sends again.
-func (f *fleetLinks) copy(out, in net.Conn, from, to *agent) {
+// copy carries one direction. What a cut meets waits until it is over, as TCP sends again; so does the word that the
+// connection has ended, but where both sides have said so.
+func (f *fleetLinks) copy(out, in net.Conn, from, to *fleetEnd, ended *atomic.Int32) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := in.Read(buf)
@@ -219,15 +255,19 @@
 			if !f.wait(way) {
 				return
 			}
-			f.mu.Lock()
-			f.bytes += n
-			f.mu.Unlock()
+			f.count(from, to, n)
 			if _, err := out.Write(buf[:n]); err != nil {
 				in.Close()
 				return
 			}
 		}
 		if err != nil {
+			ended.Add(1)
+			for x, _ := f.fault(from, to); x.Cut && ended.Load() < 2; x, _ = f.fault(from, to) {
+				if !f.wait(50 * time.Millisecond) {
+					return
+				}
+			}
 			if errors.Is(err, syscall.ECONNRESET) {
 				reset(out)
 			} else if t, ok := out.(*net.TCPConn); ok {
--- /dev/null
+++ b/internal/lab/hubs.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"brookferry/internal/lab/link"
+)
+
+// hub is one hub's process.
+type hub struct {
+	process
+	n int
+}
+
+func newHub(l *Lab, n int) *hub {
+	name := "hub" + strconv.Itoa(n)
+	h := &hub{n: n}
+	h.process = process{lab: l, role: h, what: "hub", name: name, dir: filepath.Join(l.Dir, name), since: -1}
+	return h
+}
+
+func (h *hub) running(time.Duration)               {}
+func (h *hub) down(time.Duration)                  {}
+func (h *hub) excuse(time.Duration, time.Duration) {}
+func (h *hub) over(time.Duration)                  {}
+
+func (l *Lab) hubProcesses() (list []*process) {
+	for _, h := range l.hubs {
+		list = append(list, &h.process)
+	}
+	return list
+}
+
+// hubAddr is where a hub's process hears its fleet, and hubLink where the others reach it.
+func (l *Lab) hubAddr(n int) string { return fmt.Sprintf("%s:%d", l.block.hub(n), fleetPort) }
+func (l *Lab) hubLink(n int) string { return fmt.Sprintf("%s:%d", l.block.hubLink(n), fleetPort) }
+
+// source reports whether a hub is a source of the policy and of settings.
+func (h *hub) source() bool { return h.n < h.lab.Scenario.Shared.Sources }
+
+func (h *hub) policyFile() string   { return filepath.Join(h.dir, "policy.toml") }
+func (h *hub) settingsFile() string { return filepath.Join(h.dir, "settings.toml") }
+
+// start starts the hub's process. It keeps its files as a machine set aside for control does: only with an empty restart
+// what it kept is gone. The lock is held.
+func (h *hub) start(_ time.Duration, keep bool) error {
+	l := h.lab
+	h.starts++
+	state := filepath.Join(h.dir, "state")
+	if !keep {
+		if err := os.RemoveAll(state); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(state, 0o755); err != nil {
+		return err
+	}
+	file := filepath.Join(h.dir, "hub.toml")
+	if err := os.WriteFile(file, []byte(h.configure(state)), 0o644); err != nil {
+		return err
+	}
+	return h.launch(append(append([]string(nil), l.Hub...), "--config", file), append([]string{"TMPDIR=" + state}, l.Env...))
+}
+
+// configure is what a hub's process is told, as docs/hub.md says.
+func (h *hub) configure(state string) string {
+	l, s := h.lab, &h.lab.Scenario.Shared
+	var b strings.Builder
+	line := func(key string, value any) {
+		text, _ := json.Marshal(value) // names, numbers and lists of them are written alike in both forms
+		fmt.Fprintf(&b, "%s = %s\n", key, text)
+	}
+	zones := l.Scenario.Fleet.Zones
+	line("name", h.name)
+	line("zone", zones[l.zone(party(link.Hub, h.n))])
+	line("label", l.label())
+	line("listen", l.hubAddr(h.n))
+	line("advertise", l.hubLink(h.n))
+	var seeds []string
+	for _, other := range l.hubs {
+		if other != h {
+			seeds = append(seeds, l.hubLink(other.n))
+		}
+	}
+	line("seeds", append([]string{}, seeds...))
+	line("most", len(l.agents))
+	line("matrix", s.Matrix)
+	if s.Relayed {
+		line("discovery", l.disc.addr(len(l.agents)+h.n))
+	}
+	line("list_rate", l.Scenario.Lists.Rate)
+	line("trace", filepath.Join(h.dir, traceName))
+	if regions := l.Scenario.Fleet.Regions; len(regions) > 0 {
+		b.WriteString("[zones]\n")
+		for i, zone := range zones {
+			line(strconv.Quote(zone), regions[i])
+		}
+	} else {
+		line("zones", zones)
+	}
+	b.WriteString("[settings]\n")
+	if s.Settings != "" && h.source() {
+		line("file", h.settingsFile())
+	}
+	line("state", filepath.Join(state, "settings"))
+	if s.Policy != "" {
+		b.WriteString("[residency]\n")
+		if h.source() {
+			line("file", h.policyFile())
+		}
+		line("state", filepath.Join(state, "residency"))
+		line("bound", s.Bound.D().String())
+	}
+	b.WriteString("[max_age]\n")
+	for kind, d := range factBounds {
+		line(kind, d.String())
+	}
+	return b.String()
+}
+
+// ready waits until the hub answers calls on its fleet address.
+func (h *hub) ready(ctx context.Context, ended <-chan struct{}) error {
+	return answers(ctx, ended, "http://"+h.lab.hubAddr(h.n)+"/fleet/settings")
+}
+
+// HubsReport is what the hubs used.
+type HubsReport struct {
+	Hubs int `json:"hubs"`
+	Usage
+	Busiest float64 `json:"cpu_s_busiest"`
+	Bytes   float64 `json:"bytes_per_s_per_hub"` // told by it and to it
+}
+
+// hubsReport sums up. The lock is held.
+func (l *Lab) hubsReport() *HubsReport {
+	if len(l.hubs) == 0 {
+		return nil
+	}
+	r := &HubsReport{Hubs: len(l.hubs)}
+	for _, h := range l.hubs {
+		u := &h.usage
+		r.RSS, r.FDs, r.CPU, r.Busiest = max(r.RSS, u.RSS), max(r.FDs, u.FDs), r.CPU+u.CPU, max(r.Busiest, u.CPU)
+	}
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	r.Bytes = float64(l.fleet.hubs) / max(1, l.now().Seconds()) / float64(len(l.hubs))
+	return r
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -9,6 +9,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -32,8 +33,9 @@
 	Scenario *scenario.Scenario
 	Seed     uint64
 	Agent    []string // the agent's command line
+	Hub      []string // a hub's, before --config and its file; needed where the scenario has hubs
 	Env      []string // more of its environment
-	Dir      string   // where agents have their configuration, $TMPDIR and log
+	Dir      string   // where processes have their configuration, log and what they keep
 	Events   io.Writer
 	Visitors bool                 // requests from elsewhere are served, and not judged
 	Ready    func(l *Lab)         // called once clients are about to start
@@ -60,10 +62,13 @@
 	late      *hdrhistogram.Histogram // us
 	hosts     []*host
 	agents    []*agent
+	hubs      []*hub
 	disc      *discovery
 	fleet     *fleetLinks      // nil: agents have no fleet
 	resident  *check.Residency // nil: no policy is in force
-	downs     []down           // ends of processes
+	downs     []down           // ends of agents' processes
+	given     []given          // settings, in order
+	reach     []reach          // who could reach whom, by changes
 	changed   []time.Duration  // when the network did
 	starts    []time.Duration  // that processes took from their start until they took clients
 	attempts  map[uint64]*attempt
@@ -254,6 +259,12 @@
 	for n := range s.Fleet.Agents {
 		l.agents = append(l.agents, newAgent(l, n))
 	}
+	for n := range s.Shared.Hubs {
+		l.hubs = append(l.hubs, newHub(l, n))
+	}
+	if len(l.hubs) > 0 && len(l.Hub) == 0 {
+		return errors.New("hubs are to be started, and nothing says how")
+	}
 	l.weigh()
 	var err error
 	if l.disc, err = newDiscovery(l); err != nil {
@@ -270,6 +281,9 @@
 	if err := l.firstPolicy(); err != nil {
 		return err
 	}
+	if err := l.firstSettings(); err != nil {
+		return err
+	}
 	for _, h := range l.hosts {
 		if err := h.open(); err != nil {
 			return err
@@ -290,8 +304,10 @@
 func (l *Lab) Run(ctx context.Context) (*Report, error) {
 	l.running.Go(l.drive)
 	go l.startProcesses()
-	if err := l.startAgents(ctx); err != nil {
-		return nil, err
+	for _, list := range [][]*process{l.hubProcesses(), l.agentProcesses()} {
+		if err := l.startAll(ctx, list); err != nil {
+			return nil, err
+		}
 	}
 	l.mu.Lock()
 	l.begun.Store(int64(time.Since(l.base))) // the run's time begins with its clients
@@ -309,6 +325,7 @@
 	l.changed = append(l.changed, 0)
 	l.schedule()
 	l.everySecond(0)
+	l.watchReach(0)
 	l.mu.Unlock()
 	l.wake()
 	l.running.Go(l.sample)
@@ -366,8 +383,8 @@
 func (l *Lab) Close() {
 	l.mu.Lock()
 	l.closing = true
-	for _, a := range l.agents {
-		a.end()
+	for _, p := range l.everyone() {
+		p.end()
 	}
 	hosts, disc := l.hosts, l.disc
 	l.mu.Unlock()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Options{Scenario: read(t, text), Seed: 1, Agent: []string{self}, Env: []string{"LAB_TEST_AGENT=" + mode}, Dir: t.TempDir()}
+	return Options{Scenario: read(t, text), Seed: 1, Agent: []string{self}, Hub: []string{self, "hub"}, Env: []string{"LAB_TEST_AGENT=" + mode}, Dir: t.TempDir()}
 }
 
 func playOut(t *testing.T, o Options) *Report {
@@ -245,7 +245,7 @@
 	if err != nil {
 		panic(err)
 	}
-	l, err := New(Options{Scenario: &s, Seed: 1, Agent: []string{self}, Env: []string{"LAB_TEST_AGENT=real"}, Dir: dir, Ready: func(l *Lab) {
+	l, err := New(Options{Scenario: &s, Seed: 1, Agent: []string{self}, Hub: []string{self, "hub"}, Env: []string{"LAB_TEST_AGENT=real"}, Dir: dir, Ready: func(l *Lab) {
 		for _, a := range l.agents {
 			fmt.Println(a.cmd.Process.Pid, dir)
 		}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -19,10 +19,11 @@
 	Backend
 	Discovery
 	Member // an agent, as others of its fleet meet it
+	Hub    // of the fleet
 )
 
 func (r Role) String() string {
-	return [...]string{"client", "agent", "backend", "discovery", "member"}[r]
+	return [...]string{"client", "agent", "backend", "discovery", "member", "hub"}[r]
 }
 
 // Party is one end of a link. The client and discovery of agent 3 have its number.
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -22,14 +22,12 @@
 	"brookferry/internal/lab/rng"
 )
 
-// agent is one agent's process, and its clients.
-type agent struct {
-	lab                *Lab
-	n                  int
-	name               string
-	dir                string
-	listen, peerListen string
-	relay              *net.UDPConn // what others send to it comes here first
+// process is one process that the lab runs: an agent's or a hub's.
+type process struct {
+	lab       *Lab
+	role      role
+	what      string // "agent", "hub"
+	name, dir string
 
 	// The lab's lock guards these.
 	cmd      *exec.Cmd
@@ -38,9 +36,29 @@
 	since    time.Duration // up since
 	expected bool          // its end was asked for
 	ended    chan struct{} // closed once the present process has ended
-	plays    map[string]*play
-	open     int // requests of clients that have not ended
 	usage    Usage
+}
+
+// role is what a process is to the lab beyond its running. All but ready hold the lock.
+type role interface {
+	start(now time.Duration, keep bool) error
+	ready(ctx context.Context, ended <-chan struct{}) error // waits until it does its work
+	running(now time.Duration)                              // it is ready again
+	down(now time.Duration)                                 // it is gone without a word
+	excuse(from, to time.Duration)                          // it does not answer
+	over(now time.Duration)                                 // its process has ended, for whatever cause
+}
+
+// agent is one agent's process, and its clients.
+type agent struct {
+	process
+	n                  int
+	listen, peerListen string
+	relay              *net.UDPConn // what others send to it comes here first
+
+	// The lab's lock guards these.
+	plays map[string]*play
+	open  int // requests of clients that have not ended
 
 	// The arrivals alone use these.
 	rate        float64
@@ -53,7 +71,7 @@
 	closed bool
 }
 
-// Usage is the most that an agent's processes have used.
+// Usage is the most that processes of a kind have used.
 type Usage struct {
 	RSS  float64 `json:"rss_mb_max"`
 	FDs  int     `json:"fds_max"`
@@ -64,10 +82,16 @@
 func newAgent(l *Lab, n int) *agent {
 	name := "n" + strconv.Itoa(n)
 	ip := l.block.agent(n)
-	return &agent{lab: l, n: n, name: name, dir: filepath.Join(l.Dir, name), plays: map[string]*play{}, since: -1,
-		listen: net.JoinHostPort(ip, strconv.Itoa(clientPort)), peerListen: net.JoinHostPort(ip, strconv.Itoa(peerPort))}
+	a := &agent{n: n, plays: map[string]*play{}, listen: net.JoinHostPort(ip, strconv.Itoa(clientPort)), peerListen: net.JoinHostPort(ip, strconv.Itoa(peerPort))}
+	a.process = process{lab: l, role: a, what: "agent", name: name, dir: filepath.Join(l.Dir, name), since: -1}
+	return a
 }
 
+func (a *agent) running(now time.Duration)     { a.lab.check.Running(a.n, now) }
+func (a *agent) down(now time.Duration)        { a.lab.check.Down(a.n, now) }
+func (a *agent) excuse(from, to time.Duration) { a.lab.check.Excuse(a.n, from, to) }
+func (a *agent) over(now time.Duration)        { a.lab.downs = append(a.lab.downs, down{now, a.n}) }
+
 // Addr is where an agent's clients connect.
 func (l *Lab) Addr(n int) string { return l.agents[n].listen }
 
@@ -107,14 +131,20 @@
 	if err := os.WriteFile(file, config, 0o644); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(a.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	return a.launch(l.Agent, append([]string{"TMPDIR=" + tmp, "PROXY_CONFIG=" + file, "PROXY_NAME=" + a.name, "PROXY_LISTEN=" + a.listen,
+		"PROXY_DISCOVERY=" + l.disc.addr(a.n)}, l.Env...))
+}
+
+// launch runs a command line as the process, with a bare environment and more. The lock is held.
+func (p *process) launch(command, env []string) error {
+	l := p.lab
+	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(l.Agent[0], l.Agent[1:]...)
-	cmd.Dir, cmd.Stdout, cmd.Stderr = a.dir, log, log
-	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TMPDIR=" + tmp, "PROXY_CONFIG=" + file,
-		"PROXY_NAME=" + a.name, "PROXY_LISTEN=" + a.listen, "PROXY_DISCOVERY=" + l.disc.addr(a.n)}, l.Env...)
+	cmd := exec.Command(command[0], command[1:]...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = p.dir, log, log
+	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	started := make(chan error, 1)
 	select {
@@ -125,48 +155,48 @@
 	}
 	log.Close()
 	if err != nil {
-		return fmt.Errorf("%s: %w", l.Agent[0], err)
+		return fmt.Errorf("%s: %w", command[0], err)
 	}
-	a.cmd, a.expected, a.ended = cmd, false, make(chan struct{})
-	ended := a.ended
-	l.running.Go(func() { a.watch(cmd, ended) })
+	p.cmd, p.expected, p.ended = cmd, false, make(chan struct{})
+	ended := p.ended
+	l.running.Go(func() { p.watch(cmd, ended) })
 	return nil
 }
 
 // watch waits for a process's end, and takes one that nobody asked for as a crash.
-func (a *agent) watch(cmd *exec.Cmd, ended chan struct{}) {
+func (p *process) watch(cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
-	l := a.lab
+	l := p.lab
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer close(ended)
-	a.up = false
-	l.downs = append(l.downs, down{l.now(), a.n})
-	a.usage.base += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
-	a.usage.CPU = a.usage.base
-	if a.expected || l.closing {
+	p.up = false
+	p.role.over(l.now())
+	p.usage.base += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
+	p.usage.CPU = p.usage.base
+	if p.expected || l.closing {
 		return
 	}
 	now := l.now()
-	l.crashes = append(l.crashes, fmt.Sprintf("agent %s ended by itself at %v (%v): %s", a.name, now.Round(time.Millisecond), err, a.lastLog()))
-	l.check.Down(a.n, now)
+	l.crashes = append(l.crashes, fmt.Sprintf("%s %s ended by itself at %v (%v): %s", p.what, p.name, now.Round(time.Millisecond), err, p.lastLog()))
+	p.role.down(now)
 	l.cancel()
 }
 
-// lastLog is the end of an agent's log.
-func (a *agent) lastLog() string {
-	text, err := os.ReadFile(filepath.Join(a.dir, "log"))
+// lastLog is the end of the process's log.
+func (p *process) lastLog() string {
+	text, err := os.ReadFile(filepath.Join(p.dir, "log"))
 	if err != nil {
 		return err.Error()
 	}
 	return string(text[max(0, len(text)-2000):])
 }
 
-// end kills the agent's process for good. The lock is held.
-func (a *agent) end() {
-	a.expected = true
-	if a.cmd != nil {
-		_ = a.cmd.Process.Kill() // ended already if it fails
+// end kills the process for good. The lock is held.
+func (p *process) end() {
+	p.expected = true
+	if p.cmd != nil {
+		_ = p.cmd.Process.Kill() // ended already if it fails
 	}
 }
 
@@ -190,10 +220,15 @@
 
 // ready waits until the agent takes clients.
 func (a *agent) ready(ctx context.Context, ended <-chan struct{}) error {
+	return answers(ctx, ended, "http://"+a.listen+"/_health")
+}
+
+// answers waits until an address answers a call as it should.
+func answers(ctx context.Context, ended <-chan struct{}, url string) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	limit := time.Now().Add(startWithin)
 	for time.Now().Before(limit) {
-		resp, err := client.Get("http://" + a.listen + "/_health")
+		resp, err := client.Get(url)
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
@@ -211,31 +246,41 @@
 	return fmt.Errorf("not ready within %v", startWithin)
 }
 
-// startAgents starts every process and waits until all take clients.
-func (l *Lab) startAgents(ctx context.Context) error {
+// everyone is every process, hubs first.
+func (l *Lab) everyone() []*process { return append(l.hubProcesses(), l.agentProcesses()...) }
+
+func (l *Lab) agentProcesses() (list []*process) {
+	for _, a := range l.agents {
+		list = append(list, &a.process)
+	}
+	return list
+}
+
+// startAll starts processes and waits until all do their work.
+func (l *Lab) startAll(ctx context.Context, list []*process) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, len(l.agents))
-	for _, a := range l.agents {
+	results := make(chan error, len(list))
+	for _, p := range list {
 		l.mu.Lock()
-		err := a.start(l.now(), false)
-		ended := a.ended
+		err := p.role.start(l.now(), false)
+		ended := p.ended
 		l.mu.Unlock()
 		if err != nil {
 			return err
 		}
 		go func() {
-			err := a.ready(ctx, ended)
+			err := p.role.ready(ctx, ended)
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			if a.up = err == nil; err != nil {
-				err = fmt.Errorf("%w: agent %s: %w\n%s", ErrCrash, a.name, err, a.lastLog())
+			if p.up = err == nil; err != nil {
+				err = fmt.Errorf("%w: %s %s: %w\n%s", ErrCrash, p.what, p.name, err, p.lastLog())
 			}
 			results <- err
 		}()
 	}
 	var first error
-	for range l.agents {
+	for range list {
 		if err := <-results; err != nil && first == nil {
 			first = err
 			cancel()
@@ -244,50 +289,53 @@
 	return first
 }
 
-// ErrCrash says that an agent did not start.
-var ErrCrash = errors.New("an agent has crashed")
+// ErrCrash says that a process did not start.
+var ErrCrash = errors.New("a process has crashed")
 
-// restart starts an agent that has ended, and has it count as up once it takes clients. The lock is held.
-func (a *agent) restart(now time.Duration, keep bool) {
-	l := a.lab
+// restart starts a process that has ended, and has it count as up once it does its work. The lock is held.
+func (p *process) restart(now time.Duration, keep bool) {
+	l := p.lab
 	if l.closing {
 		return
 	}
-	if err := a.start(now, keep); err != nil {
+	if err := p.role.start(now, keep); err != nil {
 		l.fail(err)
 		return
 	}
-	ended, began := a.ended, l.now()
+	ended, began := p.ended, l.now()
 	l.running.Go(func() {
-		err := a.ready(l.ctx, ended)
+		err := p.role.ready(l.ctx, ended)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if err == nil {
-			a.up, a.since = true, l.now()
-			l.starts = append(l.starts, a.since-began)
-			l.check.Running(a.n, a.since)
+			p.up, p.since = true, l.now()
+			if p.what == "agent" {
+				l.starts = append(l.starts, p.since-began)
+			}
+			p.role.running(p.since)
 		} else if !l.closing && l.ctx.Err() == nil {
-			l.crashes = append(l.crashes, fmt.Sprintf("agent %s did not come up again: %v", a.name, err))
+			l.crashes = append(l.crashes, fmt.Sprintf("%s %s did not come up again: %v", p.what, p.name, err))
 			l.cancel()
 		}
 	})
 }
 
-// sample follows what the agents use, twice a second.
+// sample follows what the processes use, twice a second.
 func (l *Lab) sample() {
 	tick := time.NewTicker(500 * time.Millisecond)
 	defer tick.Stop()
+	all := l.everyone()
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case <-tick.C:
 		}
-		for _, a := range l.agents {
+		for _, p := range all {
 			l.mu.Lock()
 			pid := 0
-			if a.cmd != nil && !a.expected {
-				pid = a.cmd.Process.Pid
+			if p.cmd != nil && !p.expected {
+				pid = p.cmd.Process.Pid
 			}
 			l.mu.Unlock()
 			if pid == 0 {
@@ -298,11 +346,11 @@
 				continue // it has ended
 			}
 			l.mu.Lock()
-			u := &a.usage
+			u := &p.usage
 			u.RSS, u.FDs, u.CPU = max(u.RSS, rss), max(u.FDs, fds), max(u.CPU, u.base+cpu)
-			if limit := l.Scenario.Limits; rss > float64(limit.MemoryMB) && limit.MemoryMB > 0 || fds > limit.Sockets {
+			if limit := l.Scenario.Limits; p.what == "agent" && (rss > float64(limit.MemoryMB) && limit.MemoryMB > 0 || fds > limit.Sockets) {
 				l.crashes = append(l.crashes, fmt.Sprintf("agent %s is over its limits: %.0f of %d MB, %d of %d descriptors",
-					a.name, rss, limit.MemoryMB, fds, limit.Sockets))
+					p.name, rss, limit.MemoryMB, fds, limit.Sockets))
 				l.cancel()
 			}
 			l.mu.Unlock()
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -56,6 +56,7 @@
 	Recovered *float64           `json:"recovered_after_s"`                   // see recovered
 	Lists     *Lists             `json:"list_service,omitempty"`
 	Shared    *Shared            `json:"shared,omitempty"`
+	Hubs      *HubsReport        `json:"hubs,omitempty"`
 	WorkScale float64            `json:"work_scale"`
 	Classes   map[string]float64 `json:"served_in_aim_by_class"`
 	Tenants   map[string]float64 `json:"served_in_aim_by_tenant"`
@@ -76,6 +77,7 @@
 	First   *check.Violation `json:"first"`
 	ByRule  map[string]int   `json:"by_rule,omitempty"`
 	History *check.Request   `json:"history,omitempty"` // of the first offender
+	Shared  string           `json:"shared,omitempty"`  // what is broken of what agents share
 }
 
 // Verdicts.
@@ -120,7 +122,7 @@
 	for i, p := range l.tally.Zones {
 		r.Zones[s.Fleet.Zones[i]] = share(p.InAim, p.Worth)
 	}
-	r.Dials, r.Ready, r.Recovered, r.Lists, r.Shared = l.busiest(), l.readyTimes(), l.recovered(), l.listsReport(), l.sharedReport()
+	r.Dials, r.Ready, r.Recovered, r.Lists, r.Shared, r.Hubs = l.busiest(), l.readyTimes(), l.recovered(), l.listsReport(), l.sharedReport(), l.hubsReport()
 	for _, a := range l.agents {
 		r.Agent.RSS, r.Agent.FDs = max(r.Agent.RSS, a.usage.RSS), max(r.Agent.FDs, a.usage.FDs)
 		r.Agent.CPU += a.usage.CPU
@@ -130,8 +132,8 @@
 		r.Verdict = Void
 	case r.Crashes > 0:
 		r.Verdict, r.Crash = Crashed, l.crashes[0]
-	case broken > 0 || r.Shared != nil && (r.Shared.Past > 0 || r.Shared.Parts > partMost):
-		r.Verdict = Broken
+	case broken > 0 || r.Shared.broken() != "":
+		r.Verdict, r.Rules.Shared = Broken, r.Shared.broken()
 	default:
 		r.Verdict = Kept
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -107,7 +107,12 @@
 	Matrix  bool            `toml:"matrix"`  // and round trips are measured, and steer
 	Policy  string          `toml:"policy"`  // the residency policy at the start; "": none
 	Bound   strict.Duration `toml:"bound"`   // in which a tightening has to hold
-	Sources int             `toml:"sources"` // agents that are given the policy, the first ones
+	Sources int             `toml:"sources"` // agents that are given the policy, the first ones; where there are hubs, hubs
+
+	Hubs          int             `toml:"hubs"`           // processes between the agents, hub i in zone i; 0: a flat fleet
+	Flat          bool            `toml:"flat"`           // agents that find no hub have a flat fleet to fall back to
+	Settings      string          `toml:"settings"`       // of all agents at the start, given to hubs; "": none
+	SettingsBound strict.Duration `toml:"settings_bound"` // in which a change is in force at every agent that a hub can reach
 }
 
 // Limits are what an agent is told that it may use.
@@ -143,13 +148,13 @@
 	After   strict.Duration `toml:"after"`   // a restart's delay
 	Restart string          `toml:"restart"` // "empty", "kept", "never"
 	Steps   int             `toml:"steps"`   // in so many equal parts over For
-	Text    string          `toml:"text"`    // a policy
+	Text    string          `toml:"text"`    // a policy, or settings
 }
 
 // What a schedule may hold.
 const (
 	Link        = "link"
-	Kill        = "kill"      // SIGKILL to agents, and a restart
+	Kill        = "kill"      // SIGKILL to agents or hubs, and a restart
 	Term        = "term"      // SIGTERM, and a restart once they have ended
 	Stop        = "stop"      // SIGSTOP, SIGCONT after For
 	ZoneLost    = "zone-lost" // its backends fall silent and come back cold
@@ -166,11 +171,12 @@
 	ListRewind  = "list-rewind" // discovery starts again from an old version
 	Power       = "power"       // a zone's agents and backends end at once and come back together
 	Policy      = "policy"      // a residency policy is given to those of Who that are its sources
+	Settings    = "settings"    // settings of all agents are given to those hubs of Who that are their sources
 	restartNone = "never"
 )
 
 var kinds = []string{Link, Kill, Term, Stop, ZoneLost, ZoneCut, ZoneDeaf, Replace, Drain, Bad, Slow, Neighbour, Burst,
-	ListSilent, ListAway, ListRewind, Power, Policy}
+	ListSilent, ListAway, ListRewind, Power, Policy, Settings}
 
 // Default is a calm day: what a scenario does not say.
 func Default() Scenario {
@@ -185,7 +191,7 @@
 			KeyForS: Range{3, 8}, KeysPerCore: 15, Conns: Range{400, 520}, HandshakeMs: Range{0.2, 0.5}, SameMs: Range{0.1, 0.26},
 			CrossMs: Range{0.78, 1.4}, FarMs: Range{4, 9}, PeerMs: Range{1.4, 6}, Jitter: 0.25},
 		Lists:  Lists{NoticeS: Range{0.5, 2}, SilentS: Range{4.3, 6}, AddS: Range{0.44, 1.5}, Rate: 50, QueueS: 2, Change: 0.2, Known: "now"},
-		Shared: Shared{Bound: strict.Duration(3 * time.Second), Sources: 1},
+		Shared: Shared{Bound: strict.Duration(3 * time.Second), Sources: 1, SettingsBound: strict.Duration(14 * time.Second)},
 		Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 768, LateMs: 20},
 	}
 }
@@ -242,6 +248,7 @@
 // Most of what one lab plays.
 const (
 	MostAgents, MostBackends = 2000, 4000
+	mostHubs                 = 64
 	Longest                  = time.Hour
 )
 
@@ -286,8 +293,12 @@
 		return s.wrong("lists.known", "%q is none of now, first, none", s.Lists.Known)
 	case !(s.Lists.Rate > 0 && s.Lists.QueueS >= 0 && s.Lists.Change > 0):
 		return s.wrong("lists.rate", "rate %v and change %v have to be above 0, queue_s %v not below", s.Lists.Rate, s.Lists.Change, s.Lists.QueueS)
-	case s.Shared.Policy != "" && (!s.Shared.On || s.Shared.Sources < 1 || s.Shared.Sources > s.Fleet.Agents || s.Shared.Bound <= 0):
-		return s.wrong("shared.policy", "a policy needs shared.on, from 1 to %d sources and a bound", s.Fleet.Agents)
+	case s.Shared.Hubs < 0 || s.Shared.Hubs > min(zones, mostHubs) || s.Shared.Hubs > 0 && !s.Shared.On:
+		return s.wrong("shared.hubs", "%d hubs: they need shared.on, and there is at most one a zone, of which there are %d", s.Shared.Hubs, zones)
+	case s.Shared.Policy != "" && (!s.Shared.On || s.Shared.Sources < 1 || s.Shared.Sources > s.sources() || s.Shared.Bound <= 0):
+		return s.wrong("shared.policy", "a policy needs shared.on, from 1 to %d sources and a bound", s.sources())
+	case s.Shared.Settings != "" && (s.Shared.Hubs < 1 || s.Shared.Sources < 1 || s.Shared.Sources > s.Shared.Hubs || s.Shared.SettingsBound <= 0):
+		return s.wrong("shared.settings", "settings need hubs, from 1 to %d sources of them and a bound", s.Shared.Hubs)
 	case s.Limits.Sockets < 64:
 		return s.wrong("limits.sockets", "%d is not at least 64", s.Limits.Sockets)
 	}
@@ -331,7 +342,10 @@
 				return s.wrong(key(name), "zone %d of %d: zones count from 0", z, len(s.Fleet.Zones))
 			}
 		}
-		size := map[string]int{"agents": s.Fleet.Agents, "backends": s.Fleet.Backends}[p.Kind]
+		if p.Kind == "hubs" && s.Shared.Hubs == 0 {
+			return s.wrong(key(name), "%q: there are no hubs", set)
+		}
+		size := map[string]int{"agents": s.Fleet.Agents, "backends": s.Fleet.Backends, "hubs": s.Shared.Hubs}[p.Kind]
 		for _, n := range p.Numbers {
 			if size > 0 && n >= size {
 				return s.wrong(key(name), "number %d of %d %s: they count from 0", n, size, p.Kind)
@@ -352,8 +366,16 @@
 		if f.Restart != "" && !slices.Contains([]string{"empty", "kept", restartNone}, f.Restart) {
 			return s.wrong(key("restart"), "%q is none of empty, kept, never", f.Restart)
 		}
-		if p, _ := ParseSet(f.Who); p.Kind != "agents" {
-			return s.wrong(key("who"), "%q is no set of agents", f.Who)
+		if p, _ := ParseSet(f.Who); p.Kind != "agents" && p.Kind != "hubs" {
+			return s.wrong(key("who"), "%q is no set of agents or hubs", f.Who)
+		}
+	case Policy:
+		if p, _ := ParseSet(f.Who); s.Shared.Hubs > 0 && p.Kind != "hubs" {
+			return s.wrong(key("who"), "%q is no set of hubs, which are a policy's sources where there are any", f.Who)
+		}
+	case Settings:
+		if p, _ := ParseSet(f.Who); p.Kind != "hubs" || s.Shared.Settings == "" {
+			return s.wrong(key("who"), "%q: settings are given to hubs, where shared.settings says what holds at the start", f.Who)
 		}
 	case Replace, Drain, Bad, Slow, Neighbour:
 		if p, _ := ParseSet(f.Who); p.Kind != "backends" {
@@ -372,7 +394,7 @@
 
 // Set names parties: a kind, and what narrows it.
 type Set struct {
-	Kind    string // agents, backends, clients, discovery, zone
+	Kind    string // agents, hubs, backends, clients, discovery, zone
 	Zones   []int  // of these zones; empty: any
 	Numbers []int  // these; empty: any
 	Share   float64
@@ -381,8 +403,8 @@
 // ParseSet reads a set, such as "agents", "backends zone=1,2", "agents n=0,3" or "backends share=0.125".
 func ParseSet(text string) (s Set, err error) {
 	words := strings.Fields(text)
-	if len(words) == 0 || !slices.Contains([]string{"agents", "backends", "clients", "discovery", "zone"}, words[0]) {
-		return s, fmt.Errorf("%q is none of agents, backends, clients, discovery, zone", text)
+	if len(words) == 0 || !slices.Contains([]string{"agents", "hubs", "backends", "clients", "discovery", "zone"}, words[0]) {
+		return s, fmt.Errorf("%q is none of agents, hubs, backends, clients, discovery, zone", text)
 	}
 	s.Kind, s.Share = words[0], 1
 	for _, w := range words[1:] {
@@ -415,7 +437,7 @@
 
 // Role is the party of a link that a set speaks of.
 func (s Set) Role() link.Role {
-	return map[string]link.Role{"agents": link.Agent, "backends": link.Backend, "clients": link.Client, "discovery": link.Discovery}[s.Kind]
+	return map[string]link.Role{"agents": link.Agent, "hubs": link.Hub, "backends": link.Backend, "clients": link.Client, "discovery": link.Discovery}[s.Kind]
 }
 
 // Has reports whether a party of a zone is in the set, Share aside.
@@ -426,7 +448,83 @@
 // Apart has the agents share nothing: what is left is how each does alone.
 func (s *Scenario) Apart() {
 	s.Shared = Shared{}
-	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.What == Policy })
+	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.What == Policy || f.ofHubs() })
+}
+
+// ofHubs reports whether a fault makes no sense without hubs.
+func (f *Fault) ofHubs() bool {
+	for _, text := range []string{f.Who, f.From, f.To} {
+		if strings.HasPrefix(strings.TrimSpace(text), "hubs") {
+			return true
+		}
+	}
+	return f.What == Settings
+}
+
+// sources is how many can be a policy's sources.
+func (s *Scenario) sources() int {
+	if s.Shared.Hubs > 0 {
+		return s.Shared.Hubs
+	}
+	return s.Fleet.Agents
+}
+
+// WithHubs has the agents hold to so many hubs, or, with 0, be a flat fleet. Where a scenario is written for a flat fleet,
+// what it does to links between agents it then does to those of the hubs of the same zones as well, and what it gives to
+// an agent that is a policy's source it gives to a hub.
+func (s *Scenario) WithHubs(n int) {
+	was := s.Shared.Hubs
+	s.Shared.Hubs = n
+	switch {
+	case n <= 0:
+		s.Shared.Settings = ""
+		s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.ofHubs() })
+	case was == 0:
+		s.Shared.On, s.Shared.Sources = true, min(s.Shared.Sources, n)
+		var more []Fault // behind the others, whose places decide their draws
+		for i := range s.Faults {
+			f := &s.Faults[i]
+			if f.What == Policy {
+				f.Who = hubsFor(f.Who, n)
+			}
+			if from, to := hubsOf(f.From), hubsOf(f.To); f.What == Link && from != "" && to != "" {
+				for _, pair := range [][2]string{{from, f.To}, {f.From, to}, {from, to}} {
+					if pair[0] != "-" && pair[1] != "-" {
+						also := *f
+						also.From, also.To = pair[0], pair[1]
+						more = append(more, also)
+					}
+				}
+			}
+		}
+		s.Faults = append(s.Faults, more...)
+	}
+}
+
+// hubsOf is the set of hubs that goes with a set of agents: those of its zones, "-" for a set that names single agents, ""
+// for a set of others.
+func hubsOf(text string) string {
+	set, err := ParseSet(text)
+	switch {
+	case err != nil || set.Kind != "agents":
+		return ""
+	case len(set.Numbers) > 0 || set.Share < 1:
+		return "-"
+	}
+	return "hubs" + strings.TrimPrefix(strings.TrimSpace(text), "agents")
+}
+
+// hubsFor is the set of hubs that are a policy's sources in place of a set of agents.
+func hubsFor(text string, hubs int) string {
+	set, err := ParseSet(text)
+	if err != nil || len(set.Numbers) == 0 {
+		return "hubs"
+	}
+	var list []string
+	for _, n := range set.Numbers {
+		list = append(list, strconv.Itoa(n%hubs))
+	}
+	return "hubs n=" + strings.Join(list, ",")
 }
 
 // Stretch changes a run's length; the schedule keeps its place in it.
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -45,6 +45,15 @@
 		{"[[fault]]\nat = \"1s\"\nwhat = \"link\"\nfrom = \"agents\"\nto = \"backends\"\nlose = 1.5", "x.toml:6: fault[0].lose: 1.5"},
 		{"[fleet]\nzone_size = [1, 2]", "x.toml:2: fleet.zone_size: 2 sizes for 3 zones"},
 		{"= 4", "x.toml:1: "},
+		{"[shared]\nhubs = 2", "x.toml:2: shared.hubs: 2 hubs: they need shared.on"},
+		{"[shared]\non = true\nhubs = 4", "x.toml:3: shared.hubs: 4 hubs: they need shared.on, and there is at most one a zone, of which there are 3"},
+		{"[shared]\non = true\nsettings = \"version = 1\"", "x.toml:3: shared.settings: settings need hubs"},
+		{"[shared]\non = true\nhubs = 2\nsources = 3\nsettings = \"version = 1\"", "shared.settings: settings need hubs, from 1 to 2 sources"},
+		{"[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nwho = \"hubs\"", `x.toml:4: fault[0].who: "hubs": there are no hubs`},
+		{"[shared]\non = true\nhubs = 2\n[[fault]]\nat = \"1s\"\nwhat = \"stop\"\nwho = \"hubs n=2\"", "x.toml:7: fault[0].who: number 2 of 2 hubs"},
+		{"[shared]\non = true\nhubs = 2\n[[fault]]\nat = \"1s\"\nwhat = \"settings\"\nwho = \"hubs\"", `x.toml:7: fault[0].who: "hubs": settings are given to hubs, where`},
+		{"[shared]\non = true\nhubs = 2\nsettings = \"version = 1\"\n[[fault]]\nat = \"1s\"\nwhat = \"settings\"\nwho = \"agents\"", `x.toml:8: fault[0].who: "agents": settings are given to hubs`},
+		{"[shared]\non = true\nhubs = 2\n[[fault]]\nat = \"1s\"\nwhat = \"policy\"\nwho = \"agents\"", `x.toml:7: fault[0].who: "agents" is no set of hubs`},
 	} {
 		_, err := parse("x.toml", c.text)
 		if err == nil || !strings.HasPrefix(err.Error(), c.want) && !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
@@ -65,6 +74,54 @@
 	}
 }
 
+// Every scenario can be played with hubs and without. What is written for a flat fleet then does the same to hubs: what is
+// between zones of agents is between their hubs, and a hub is a policy's source in an agent's place.
+func TestWithHubs(t *testing.T) {
+	for _, name := range Names() {
+		for n := range 4 {
+			s, err := Read(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if own := s.Shared.Hubs; own > n && n > 0 {
+				continue // it names hubs that there would not be
+			}
+			s.WithHubs(n)
+			if err := s.Check(); err != nil || s.Shared.Hubs != n {
+				t.Errorf("%s with %d hubs: %v", name, n, err)
+			}
+		}
+	}
+	s, err := Read("residency-tighten")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.WithHubs(2)
+	var links []string
+	for _, f := range s.Faults {
+		switch f.What {
+		case Link:
+			links = append(links, f.From+" > "+f.To)
+		case Policy:
+			if f.Who != "hubs n=0" {
+				t.Errorf("the policy is given to %q", f.Who)
+			}
+		}
+	}
+	want := []string{"agents zone=1 > agents zone=0,2", "hubs zone=1 > agents zone=0,2", "agents zone=1 > hubs zone=0,2", "hubs zone=1 > hubs zone=0,2"}
+	if !slices.Equal(links, want) {
+		t.Errorf("links %q", links)
+	}
+	late, err := Read("matrix-liar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	late.WithHubs(3)
+	if n := len(late.Faults); n != 2 || late.Faults[1].From != "agents n=0,3" || late.Faults[1].To != "hubs" {
+		t.Errorf("single agents: %+v", late.Faults)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, name := range Names() {
 		text, err := builtin.ReadFile("builtin/" + name + ".toml")
--- /dev/null
+++ b/internal/lab/settled.go
@@ -0,0 +1,298 @@
+package lab
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"brookferry/internal/lab/link"
+	"brookferry/internal/lab/scenario"
+)
+
+// Settings of all agents are judged from outside: each agent and each hub logs a line when a version is in force there, and
+// the lab knows who was alive and could reach whom.
+
+// given is a version of settings that hubs were given.
+type given struct {
+	at      time.Duration
+	version int64
+	hubs    []int // its sources
+}
+
+// firstSettings gives the settings that hold at the start.
+func (l *Lab) firstSettings() error {
+	s := &l.Scenario.Shared
+	if s.Settings == "" {
+		return nil
+	}
+	return l.toHubs(0, s.Settings, l.hubs[:s.Sources])
+}
+
+// giveSettings has operators give settings to sources. The lock is held.
+func (l *Lab) giveSettings(i int, f *scenario.Fault, now time.Duration) {
+	sources := slices.DeleteFunc(l.pickHubs(i, f.Who), func(h *hub) bool { return !h.source() })
+	if err := l.toHubs(now, f.Text, sources); err != nil {
+		l.fail(err)
+	}
+}
+
+func (l *Lab) toHubs(now time.Duration, text string, hubs []*hub) error {
+	var head struct {
+		Version int64 `toml:"version"`
+	}
+	if _, err := toml.Decode(text, &head); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if len(hubs) == 0 {
+		return errors.New("settings are given to hubs of which none is a source")
+	}
+	g := given{at: now, version: head.Version}
+	for _, h := range hubs {
+		if err := put(h.settingsFile(), text); err != nil {
+			return err
+		}
+		g.hubs = append(g.hubs, h.n)
+	}
+	l.given = append(l.given, g)
+	return nil
+}
+
+// put writes a file whole or not at all, as operators do.
+func put(file, text string) error {
+	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+		return err
+	}
+	if err := os.WriteFile(file+".new", []byte(text), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(file+".new", file)
+}
+
+// reach is who is alive from a time on, and between whom nothing is cut, either way.
+type reach struct {
+	at            time.Duration
+	agents, hubs  []bool
+	streams, ways []bool // agent by hub, hub by hub
+}
+
+const reachEvery = 20 * time.Millisecond
+
+// watchReach follows who can reach whom. The lock is held.
+func (l *Lab) watchReach(at time.Duration) {
+	if len(l.given) == 0 {
+		return
+	}
+	l.at(at, func(now time.Duration) {
+		r := reach{at: now}
+		open := func(a, b link.Party) bool { return !l.net.Shut(a, b) }
+		for _, h := range l.hubs {
+			r.hubs = append(r.hubs, h.up)
+			for _, other := range l.hubs {
+				r.ways = append(r.ways, open(party(link.Hub, h.n), party(link.Hub, other.n)))
+			}
+		}
+		for _, a := range l.agents {
+			r.agents = append(r.agents, a.up)
+			for _, h := range l.hubs {
+				r.streams = append(r.streams, open(party(link.Member, a.n), party(link.Hub, h.n)))
+			}
+		}
+		if n := len(l.reach); n == 0 || !l.reach[n-1].same(&r) {
+			l.reach = append(l.reach, r)
+		}
+		l.watchReach(now + reachEvery)
+	})
+}
+
+func (r *reach) same(o *reach) bool {
+	return slices.Equal(r.agents, o.agents) && slices.Equal(r.hubs, o.hubs) && slices.Equal(r.streams, o.streams) && slices.Equal(r.ways, o.ways)
+}
+
+// have spreads what some hubs have to those that they can reach.
+func (r *reach) have(some []bool) []bool {
+	list := make([]bool, len(r.hubs))
+	for h := range list {
+		list[h] = some[h] && r.hubs[h]
+	}
+	for again := true; again; {
+		again = false
+		for h := range list {
+			for other := range list {
+				if list[h] && !list[other] && r.hubs[other] && r.ways[h*len(list)+other] {
+					list[other], again = true, true
+				}
+			}
+		}
+	}
+	return list
+}
+
+// can reports whether an agent lives and reaches one of some hubs.
+func (r *reach) can(agent int, some []bool) bool {
+	for h, has := range some {
+		if has && r.agents[agent] && r.streams[agent*len(some)+h] {
+			return true
+		}
+	}
+	return false
+}
+
+// inForceAt is a version that an agent or a hub logged that it holds.
+type inForceAt struct {
+	at      time.Duration // of the run
+	version int64
+}
+
+// settled reads which versions a process has logged, in order, over all its starts.
+func (l *Lab) settled(p *process) (list []inForceAt) {
+	f, err := os.Open(filepath.Join(p.dir, "log"))
+	if err != nil {
+		return nil // it was never started
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		words := strings.Fields(lines.Text())
+		if len(words) < 4 || words[2] != "msg=settings" {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339, strings.TrimPrefix(words[0], "time="))
+		version, err2 := strconv.ParseInt(strings.TrimPrefix(words[3], "version="), 10, 64)
+		if err == nil && err2 == nil { // cut off by a kill otherwise
+			list = append(list, inForceAt{at.Sub(l.wall(0)), version})
+		}
+	}
+	return list
+}
+
+// SettingsReport is how settings got round, as seen from outside.
+type SettingsReport struct {
+	Given  int     `json:"given"`         // versions
+	After  float64 `json:"after_s"`       // from giving a version until the last agent that ever had it did, the longest
+	Reach  float64 `json:"reached_s"`     // for which a living agent could reach a living hub that had it or could, before it had it itself, the longest
+	Late   int     `json:"past_bound"`    // agents past the bound by that
+	Behind int     `json:"behind_at_end"` // living agents that can reach such a hub at the end and don't have the latest version
+	Back   int     `json:"went_back"`     // lower versions after higher ones at an agent or a hub
+	First  string  `json:"first,omitempty"`
+}
+
+// settingsReport judges what agents and hubs logged that they hold. The lock is held.
+func (l *Lab) settingsReport() *SettingsReport {
+	if len(l.given) == 0 {
+		return nil
+	}
+	var agents, hubs [][]inForceAt
+	for _, p := range l.agentProcesses() {
+		agents = append(agents, l.settled(p))
+	}
+	for _, p := range l.hubProcesses() {
+		hubs = append(hubs, l.settled(p))
+	}
+	r := &SettingsReport{Given: len(l.given)}
+	broken := func(format string, args ...any) {
+		if r.First == "" {
+			r.First = fmt.Sprintf(format, args...)
+		}
+	}
+	for kind, all := range map[string][][]inForceAt{"agent": agents, "hub": hubs} {
+		for n, list := range all {
+			for i := 1; i < len(list); i++ {
+				if list[i].version < list[i-1].version {
+					r.Back++
+					broken("%s %d went back from settings %d to %d at %v", kind, n, list[i-1].version, list[i].version, list[i].at)
+				}
+			}
+		}
+	}
+	end := l.now()
+	bound := l.Scenario.Shared.SettingsBound.D()
+	for i, g := range l.given {
+		for a, list := range agents {
+			got := firstWith(list, g.version)
+			if got >= 0 {
+				r.After = max(r.After, (got - g.at).Seconds())
+			}
+			waited, reached := l.waited(&g, a, got, end, hubs)
+			if r.Reach = max(r.Reach, waited.Seconds()); waited > bound+ageSlack {
+				r.Late++
+				broken("agent %d did not have settings %d, given at %v, though it could reach a hub for %v, bound %v", a, g.version, g.at, waited, bound)
+			}
+			if reached && got < 0 && i == len(l.given)-1 {
+				r.Behind++
+			}
+		}
+	}
+	return r
+}
+
+// firstWith is when in the run a version or a later one was first held; negative: never.
+func firstWith(list []inForceAt, version int64) time.Duration {
+	for _, x := range list {
+		if x.version >= version {
+			return max(0, x.at)
+		}
+	}
+	return -1
+}
+
+// waited is the longest time without a break for which an agent could reach a hub that had a version or could have it, from
+// when it was given until the agent had it; reached: it still could at that time.
+func (l *Lab) waited(g *given, agent int, got, end time.Duration, hubs [][]inForceAt) (longest time.Duration, reached bool) {
+	if got >= 0 {
+		end = min(end, got)
+	}
+	has := make([]bool, len(hubs))
+	for _, h := range g.hubs {
+		has[h] = true
+	}
+	// What changes who can: the network and processes, and hubs that have it by now.
+	type turn struct {
+		at  time.Duration
+		hub int // -1: none
+	}
+	turns := []turn{{g.at, -1}}
+	for h, list := range hubs {
+		if at := firstWith(list, g.version); at >= 0 {
+			turns = append(turns, turn{at, h})
+		}
+	}
+	for i := range l.reach {
+		turns = append(turns, turn{l.reach[i].at, -1})
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int { return int(a.at - b.at) })
+	since, now := time.Duration(-1), 0
+	for i, t := range turns {
+		if t.hub >= 0 {
+			has[t.hub] = true
+		}
+		for now+1 < len(l.reach) && l.reach[now+1].at <= t.at {
+			now++
+		}
+		if t.at < g.at || t.at >= end || len(l.reach) == 0 || i+1 < len(turns) && turns[i+1].at == t.at {
+			continue
+		}
+		st := &l.reach[now]
+		if reached = st.can(agent, st.have(has)); !reached {
+			since = -1
+			continue
+		}
+		if since < 0 {
+			since = t.at
+		}
+		next := end
+		if i+1 < len(turns) {
+			next = min(end, turns[i+1].at)
+		}
+		longest = max(longest, next-since)
+	}
+	return longest, reached
+}
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"brookferry/internal/lab/check"
+	"brookferry/internal/lab/link"
 	"brookferry/internal/lab/scenario"
 	"brookferry/internal/residency"
 )
@@ -22,8 +23,9 @@
 
 const traceName = "fleet.trace"
 
-// factBounds are the bounds that agents are configured with, by kind.
-var factBounds = map[string]time.Duration{"service": 5 * time.Second, "distance": 3 * time.Second, "residency": 10 * time.Second, "gone": 3 * time.Second}
+// factBounds are the bounds that agents and hubs are configured with, by kind.
+var factBounds = map[string]time.Duration{"service": 5 * time.Second, "distance": 3 * time.Second, "residency": 10 * time.Second, "gone": 3 * time.Second,
+	"settings": 10 * time.Second, "census": 3 * time.Second}
 
 const (
 	ageSlack = 50 * time.Millisecond // of writing lines, and of the first message between two processes
@@ -48,14 +50,24 @@
 	if s.Relayed {
 		lists = "relayed"
 	}
-	fleet = map[string]any{"listen": l.fleetAddr(a.n), "advertise": l.fleetLink(a.n), "seeds": seeds, "label": fmt.Sprintf("lab-%d", l.Seed),
+	fleet = map[string]any{"listen": l.fleetAddr(a.n), "advertise": l.fleetLink(a.n), "seeds": seeds, "label": l.label(),
 		"most": len(l.agents), "lists": lists, "list_rate": l.Scenario.Lists.Rate, "matrix": s.Matrix, "max_age_ms": ages,
 		"trace": filepath.Join(a.dir, traceName)}
+	if len(l.hubs) > 0 {
+		hubs := map[string]string{}
+		for _, h := range l.hubs {
+			hubs[l.Scenario.Fleet.Zones[l.zone(party(link.Hub, h.n))]] = l.hubLink(h.n)
+		}
+		fleet["hubs"], fleet["settings_state"] = hubs, filepath.Join(a.dir, "settings")
+		if !s.Flat {
+			fleet["seeds"] = []string{}
+		}
+	}
 	if s.Policy == "" {
 		return fleet, nil
 	}
 	policy = map[string]any{"bound_ms": s.Bound.D().Seconds() * 1e3, "state": filepath.Join(a.dir, "residency")}
-	if a.n < s.Sources {
+	if a.n < s.Sources && len(l.hubs) == 0 {
 		policy["policy"] = l.policyFile(a)
 	}
 	return fleet, policy
@@ -63,6 +75,8 @@
 
 func (l *Lab) policyFile(a *agent) string { return filepath.Join(a.dir, "policy.toml") }
 
+func (l *Lab) label() string { return fmt.Sprintf("lab-%d", l.Seed) }
+
 // firstPolicy gives the policy that holds at the start.
 func (l *Lab) firstPolicy() error {
 	s := &l.Scenario.Shared
@@ -70,11 +84,16 @@
 		return nil
 	}
 	l.resident = &check.Residency{Bound: s.Bound.D() + pauseSlack}
-	for _, a := range l.agents[:s.Sources] {
-		if err := os.MkdirAll(a.dir, 0o755); err != nil {
-			return err
+	var files []string
+	for n := range s.Sources {
+		if len(l.hubs) > 0 {
+			files = append(files, l.hubs[n].policyFile())
+		} else {
+			files = append(files, l.policyFile(l.agents[n]))
 		}
-		if err := os.WriteFile(l.policyFile(a), []byte(s.Policy), 0o644); err != nil {
+	}
+	for _, file := range files {
+		if err := put(file, s.Policy); err != nil {
 			return err
 		}
 	}
@@ -100,13 +119,18 @@
 
 // givePolicy has operators give a policy to sources. The lock is held.
 func (l *Lab) givePolicy(i int, f *scenario.Fault, now time.Duration) {
-	for _, a := range l.pickAgents(i, f.Who) {
-		file := l.policyFile(a)
-		err := os.WriteFile(file+".new", []byte(f.Text), 0o644)
-		if err == nil {
-			err = os.Rename(file+".new", file)
+	var files []string
+	if len(l.hubs) > 0 {
+		for _, h := range l.pickHubs(i, f.Who) {
+			files = append(files, h.policyFile())
 		}
-		if err != nil {
+	} else {
+		for _, a := range l.pickAgents(i, f.Who) {
+			files = append(files, l.policyFile(a))
+		}
+	}
+	for _, file := range files {
+		if err := put(file, f.Text); err != nil {
 			l.fail(err)
 		}
 	}
@@ -115,16 +139,31 @@
 	}
 }
 
+// broken says what of it breaks a rule; "": nothing.
+func (r *Shared) broken() string {
+	switch {
+	case r == nil:
+	case r.Past > 0:
+		return r.First
+	case r.Parts > partMost:
+		return fmt.Sprintf("parts of the limit sum up to %.3f, at most %v", r.Parts, partMost)
+	case r.Settings != nil && r.Settings.Late+r.Settings.Back > 0:
+		return r.Settings.First
+	}
+	return ""
+}
+
 // Shared is what a fleet's agents shared, as seen from outside.
 type Shared struct {
-	Ages     map[string]P   `json:"age_at_use_ms"`
-	Used     map[string]int `json:"used"`
-	Past     int            `json:"past_bound"` // uses of facts that were older than their bound
-	First    string         `json:"first,omitempty"`
-	Parts    float64        `json:"parts_most"` // the greatest sum of parts of the limit, 1 is all
-	Bytes    float64        `json:"bytes_per_s_per_agent"`
-	Matrix   *MatrixError   `json:"matrix,omitempty"`
-	Unserved int            `json:"agents_without_part"`
+	Ages     map[string]P    `json:"age_at_use_ms"`
+	Used     map[string]int  `json:"used"`
+	Past     int             `json:"past_bound"` // uses of facts that were older than their bound
+	First    string          `json:"first,omitempty"`
+	Parts    float64         `json:"parts_most"`            // the greatest sum of parts of the limit, 1 is all
+	Bytes    float64         `json:"bytes_per_s_per_agent"` // told by agents and to them, each once
+	Matrix   *MatrixError    `json:"matrix,omitempty"`
+	Unserved int             `json:"agents_without_part"`
+	Settings *SettingsReport `json:"settings,omitempty"`
 }
 
 // MatrixError is how far the agents' matrices were from the lab's ways, where nothing had changed for 3 s.
@@ -170,10 +209,16 @@
 	var parts []partAt
 	var errors []float64
 	var uses []traceLine
-	for _, a := range l.agents {
-		f, err := os.Open(filepath.Join(a.dir, traceName))
+	for i, p := range l.everyone() {
+		n, isHub := i-len(l.hubs), i < len(l.hubs)
+		if isHub {
+			n = i
+		}
+		f, err := os.Open(filepath.Join(p.dir, traceName))
 		if err != nil {
-			r.Unserved++
+			if !isHub {
+				r.Unserved++
+			}
 			continue
 		}
 		lines := bufio.NewScanner(f)
@@ -185,11 +230,13 @@
 			}
 			switch {
 			case x.Part != nil:
-				parts = append(parts, partAt{x.At, a.n, *x.Part})
+				if !isHub {
+					parts = append(parts, partAt{x.At, n, *x.Part})
+				}
 			case x.Matrix != nil:
 				errors = append(errors, l.matrixErrors(x.At, x.Matrix)...)
 			case x.What == "tell":
-				told[name(&x)] = x.At
+				told[name(&x)] = x.At - x.Age // a sum is told as old as the oldest of its parts
 			case x.What == "use":
 				uses = append(uses, x)
 			}
@@ -219,6 +266,7 @@
 		r.Ages[kind] = P{float64(h.ValueAtQuantile(50)), float64(h.ValueAtQuantile(99)), float64(h.Max())}
 	}
 	r.Parts = l.sumOfParts(parts, begin)
+	r.Settings = l.settingsReport()
 	if len(errors) > 0 {
 		slices.Sort(errors)
 		r.Matrix = &MatrixError{P50: errors[len(errors)/2], P99: errors[int(0.99*float64(len(errors)-1))], Entries: len(errors)}
--- a/internal/lab/shared_test.go
+++ b/internal/lab/shared_test.go
@@ -29,9 +29,24 @@
 	return text + shared + "policy = " + policy("1", `"riga", "second"`) + "[[fault]]\nat = \"1s\"\nwhat = \"policy\"\nwho = \"agents n=0\"\ntext = " + policy("2", `"riga"`)
 }
 
+// hubs is a fleet with hubs whose settings change once.
+const hubs = shared + `
+hubs = 2
+settings_bound = "1s"
+settings = "version = 1"
+[[fault]]
+at = "500ms"
+what = "settings"
+who = "hubs n=0"
+text = "version = 2"
+`
+
 // The checkers of what agents share find what they are there for, and nothing where nothing is wrong.
 func TestCheckersOfSharedState(t *testing.T) {
 	restart := "[[fault]]\nat = \"800ms\"\nwhat = \"kill\"\nwho = \"agents n=1\"\nrestart = \"kept\"\n"
+	cutOff := "[[fault]]\nat = \"300ms\"\nwhat = \"link\"\nfrom = \"hubs\"\nto = \"agents n=1\"\ncut = true\n"
+	cutShort := "[[fault]]\nat = \"300ms\"\nfor = \"300ms\"\nwhat = \"link\"\nfrom = \"hubs\"\nto = \"agents\"\ncut = true\n"
+	sourceKilled := "[[fault]]\nat = \"400ms\"\nwhat = \"kill\"\nwho = \"hubs n=0\"\nafter = \"300ms\"\nrestart = \"kept\"\n"
 	for _, c := range []struct{ mode, text, verdict, rule string }{
 		{"resides", tightened(small) + restart, Kept, ""},
 		{"leaks", tightened(small), Broken, check.RuleResidency},
@@ -41,6 +56,16 @@
 		{"honest", small + shared, Kept, ""},
 		{"uses-old", small + shared, Broken, ""},
 		{"takes-two-parts", small + shared, Broken, ""},
+		{"takes-two-parts", small + hubs, Broken, ""},
+		{"settles", small + hubs, Kept, ""},
+		{"settles", small + hubs + cutOff, Kept, ""}, // whom no hub can reach is not late
+		{"settles", small + hubs + restart, Kept, ""},
+		{"settles", small + hubs + sourceKilled, Kept, ""},
+		{"never-settles", small + hubs, Broken, ""},
+		{"never-settles", small + hubs + cutShort, Broken, ""},
+		{"agent-goes-back", small + hubs, Broken, ""},
+		{"hub-goes-back", small + hubs, Broken, ""},
+		{"forgets-settings", small + hubs + restart, Broken, ""},
 	} {
 		t.Run(c.mode, func(t *testing.T) {
 			t.Parallel()
@@ -57,6 +82,16 @@
 			if broken := c.mode == "takes-two-parts"; broken != (r.Shared.Parts > partMost) {
 				t.Errorf("parts sum up to %v", r.Shared.Parts)
 			}
+			s := r.Shared.Settings
+			if s == nil {
+				return
+			}
+			if broken := strings.HasSuffix(c.mode, "-back") || c.mode == "forgets-settings"; broken != (s.Back > 0) {
+				t.Errorf("went back: %+v", s)
+			}
+			if broken := c.mode == "never-settles"; broken != (s.Late > 0) || c.mode == "settles" && s.Behind > 0 {
+				t.Errorf("past the bound, or behind: %+v", s)
+			}
 		})
 	}
 }
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -22,7 +22,12 @@
 // TestMain lets the test binary stand in for an agent's program: the real agent, or one that is broken in a
 // stated way.
 func TestMain(m *testing.M) {
-	switch mode := os.Getenv("LAB_TEST_AGENT"); mode {
+	mode := os.Getenv("LAB_TEST_AGENT")
+	if len(os.Args) == 4 && os.Args[1] == "hub" {
+		standInHub(mode, os.Args[3])
+		os.Exit(0)
+	}
+	switch mode {
 	case "":
 		os.Exit(m.Run())
 	case "real":
@@ -59,7 +64,11 @@
 	var config struct {
 		Listen, Discovery string
 		Known             members
-		Fleet             struct{ Trace string }
+		Fleet             struct {
+			Listen, Trace string
+			Hubs          map[string]string
+			State         string `json:"settings_state"`
+		}
 	}
 	if err := json.Unmarshal(text, &config); err != nil {
 		panic(err)
@@ -72,6 +81,13 @@
 	if config.Fleet.Trace != "" {
 		go a.trace(config.Fleet.Trace)
 	}
+	if len(config.Fleet.Hubs) > 0 {
+		var hubs []string
+		for _, addr := range config.Fleet.Hubs {
+			hubs = append(hubs, addr)
+		}
+		go settle(mode, config.Fleet.Listen, config.Fleet.State, hubs, nil)
+	}
 	a.take(config.Known)
 	go a.watch(config.Discovery, config.Known.Version)
 	if mode == "probes" {
