--- a/cmd/martenbeam/lab.go
+++ b/cmd/martenbeam/lab.go
@@ -65,6 +65,9 @@
 	if f.For != 0 {
 		s.Stretch(f.For)
 	}
+	if f.Apart && f.Hubs > 0 {
+		return fmt.Errorf("--apart, --hubs: agents that share nothing have no hubs")
+	}
 	if f.Apart {
 		s.Apart()
 	}
--- a/cmd/martenbeam/main_test.go
+++ b/cmd/martenbeam/main_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"brookferry/internal/lab"
 )
 
 // TestMain lets the test binary stand in for the program: agents are started from it too.
@@ -50,6 +52,9 @@
 		{"lab run calm --agents 2000 --backends 4000", exitUsage, "descriptors"},
 		{"lab run calm --agent-bin /nowhere", exitUsage, "/nowhere is no program"},
 		{"lab compare calm --a /nowhere --seeds 5-1", exitUsage, `"5-1" is neither`},
+		{"lab run calm --hubs 9", exitUsage, "shared.hubs: 9 hubs"},
+		{"lab run calm --apart --hubs 2", exitUsage, "--apart, --hubs"},
+		{"lab compare calm", exitUsage, "or --hubs for a flat fleet"},
 		{"lab trace /dev/null 12", exitUsage, "holds no request 12"},
 		{"config check", exitUsage, "name a FILE"},
 		{"config check --settings " + bad, exitUsage, bad + ":1: for: unknown key"},
@@ -75,6 +80,15 @@
 	}
 }
 
+// A run that only breaks a rule of what agents share ends with 3 and says which.
+func TestVerdictOfSharedState(t *testing.T) {
+	var out, errs bytes.Buffer
+	r := &lab.Report{Verdict: lab.Broken, Rules: lab.Rules{Shared: "agent 2 went back from settings 3 to 2 at 4s"}}
+	if err := verdict(&output{&out, &errs}, r); err != codeError(exitBroken) || !strings.Contains(errs.String(), r.Rules.Shared) {
+		t.Errorf("%v: %s", err, errs.String())
+	}
+}
+
 // up serves a request sent by hand as its curl line says, and ends cleanly on an interrupt.
 func TestUp(t *testing.T) {
 	self, err := os.Executable()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -336,6 +336,7 @@
 	case <-l.ctx.Done():
 	case <-played:
 		l.settleDown(ctx)
+		l.awaitSettings(ctx)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lab/settled.go
+++ b/internal/lab/settled.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -166,9 +167,11 @@
 			continue
 		}
 		at, err := time.Parse(time.RFC3339, strings.TrimPrefix(words[0], "time="))
-		version, err2 := strconv.ParseInt(strings.TrimPrefix(words[3], "version="), 10, 64)
-		if err == nil && err2 == nil { // cut off by a kill otherwise
-			list = append(list, inForceAt{at.Sub(l.wall(0)), version})
+		for _, w := range words[3:] {
+			text, is := strings.CutPrefix(w, "version=")
+			if version, err2 := strconv.ParseInt(text, 10, 64); is && err == nil && err2 == nil { // cut off by a kill otherwise
+				list = append(list, inForceAt{at.Sub(l.wall(0)), version})
+			}
 		}
 	}
 	return list
@@ -185,18 +188,50 @@
 	First  string  `json:"first,omitempty"`
 }
 
-// settingsReport judges what agents and hubs logged that they hold. The lock is held.
-func (l *Lab) settingsReport() *SettingsReport {
-	if len(l.given) == 0 {
-		return nil
-	}
-	var agents, hubs [][]inForceAt
+// settledAll reads what all agents and all hubs logged.
+func (l *Lab) settledAll() (agents, hubs [][]inForceAt) {
 	for _, p := range l.agentProcesses() {
 		agents = append(agents, l.settled(p))
 	}
 	for _, p := range l.hubProcesses() {
 		hubs = append(hubs, l.settled(p))
 	}
+	return agents, hubs
+}
+
+// awaitSettings has the run go on, without clients, until no living agent in reach of a hub is without the latest settings, or
+// one is past the bound: a scenario that is shorter than the bound says something too.
+func (l *Lab) awaitSettings(ctx context.Context) {
+	if l.Scenario.Shared.Settings == "" {
+		return
+	}
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for limit := time.After(2 * l.Scenario.Shared.SettingsBound.D()); ; {
+		agents, hubs := l.settledAll()
+		l.mu.Lock()
+		r := l.settingsReport(agents, hubs)
+		l.mu.Unlock()
+		if r.Behind == 0 || r.Late > 0 {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-limit: // it went in and out of reach
+			return
+		case <-ctx.Done():
+			return
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// settingsReport judges what agents and hubs logged that they hold. The lock is held.
+func (l *Lab) settingsReport(agents, hubs [][]inForceAt) *SettingsReport {
+	if len(l.given) == 0 {
+		return nil
+	}
 	r := &SettingsReport{Given: len(l.given)}
 	broken := func(format string, args ...any) {
 		if r.First == "" {
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -266,7 +266,7 @@
 		r.Ages[kind] = P{float64(h.ValueAtQuantile(50)), float64(h.ValueAtQuantile(99)), float64(h.Max())}
 	}
 	r.Parts = l.sumOfParts(parts, begin)
-	r.Settings = l.settingsReport()
+	r.Settings = l.settingsReport(l.settledAll())
 	if len(errors) > 0 {
 		slices.Sort(errors)
 		r.Matrix = &MatrixError{P50: errors[len(errors)/2], P99: errors[int(0.99*float64(len(errors)-1))], Entries: len(errors)}
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -24,7 +24,11 @@
 func TestMain(m *testing.M) {
 	mode := os.Getenv("LAB_TEST_AGENT")
 	if len(os.Args) == 4 && os.Args[1] == "hub" {
-		standInHub(mode, os.Args[3])
+		if mode == "real" {
+			realHub(os.Args[3])
+		} else {
+			standInHub(mode, os.Args[3])
+		}
 		os.Exit(0)
 	}
 	switch mode {
--- a/internal/lab/standinhub_test.go
+++ b/internal/lab/standinhub_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -8,15 +9,38 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"brookferry/internal/config"
+	"brookferry/internal/hubd"
 )
 
+// realHub is a hub as its command runs it.
+func realHub(file string) {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	cfg, err := config.ReadHub(file)
+	if err == nil {
+		var h *hubd.Hub
+		if h, err = hubd.New(cfg, "test", log); err == nil {
+			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+			defer cancel()
+			err = h.Run(ctx)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 // standInHub stands in for a hub's program: it takes settings from its file, or from other hubs, and tells their version to
 // who asks. What it gets wrong its mode says.
 func standInHub(mode, file string) {
@@ -47,7 +71,7 @@
 // settle asks others which version of settings they have, all the time, and logs the highest once it is in force here. hub
 // is what a hub has of its own beside, nil at an agent.
 func settle(mode, listen, state string, others []string, hub func(v int64) int64) {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("who", mode) // agents say their name there
 	keep := filepath.Join(state, "version")
 	var version int64
 	have := func(v int64) {
