--- a/internal/fleet/distance/matrix.go
+++ b/internal/fleet/distance/matrix.go
@@ -38,19 +38,15 @@
 
 // Make makes a matrix of rows. Each observer has one word on a pair, and the third lowest of their words counts. A row counts only from an observer of that site; whose site is
 // not known here says nothing.
-func Make(rows []fact.Fact, alive []member.Member) Matrix {
-	site := map[string]string{}
-	for _, m := range alive {
-		site[m.Name] = m.Site
-	}
+func Make(rows []fact.Fact, who *member.View) Matrix {
 	type word struct {
 		entry
 		age time.Duration
 	}
 	words := map[Pair][]word{}
 	for _, f := range rows {
-		r, err := decodeRow(f.Body)
-		if err != nil || f.Subject == "" || site[f.Observer] != f.Subject {
+		r, err := fact.Read(f, decodeRow)
+		if m, there := who.Named(f.Observer); err != nil || f.Subject == "" || !there || m.Site != f.Subject {
 			continue
 		}
 		seen := map[string]bool{}
--- a/internal/fleet/fact/aged.go
+++ b/internal/fleet/fact/aged.go
@@ -15,6 +15,6 @@
 	k := key{kind, subject, s.self}
 	s.seqs[k]++
 	f := Fact{Kind: kind, Subject: subject, Observer: s.self, Incarnation: s.incarnation, Seq: s.seqs[k], Age: age, Body: slices.Clone(body)}
-	s.facts[k] = &held{Fact: f, at: now}
+	s.put(&held{Fact: f, at: now})
 	s.trace(Use{Fact: f, Told: true, Now: age})
 }
--- a/internal/fleet/fact/own.go
+++ b/internal/fleet/fact/own.go
@@ -12,11 +12,13 @@
 		return nil
 	}
 	m := Message{Version: Version, Sender: s.self, Incarnation: s.incarnation, Clock: now.Sub(s.born)}
-	for k, h := range s.facts {
-		if age := h.age(now); h.Observer == s.self && age <= s.bounds[k.kind] && len(m.Facts) < maxFacts {
-			f := h.Fact
-			f.Age = age
-			m.Facts = append(m.Facts, f)
+	for kind, shelf := range s.facts {
+		for _, h := range shelf.list {
+			if age := h.age(now); h.Observer == s.self && age <= s.bounds[kind] && len(m.Facts) < maxFacts {
+				f := h.Fact
+				f.Age = age
+				m.Facts = append(m.Facts, f)
+			}
 		}
 	}
 	if len(m.Facts) == 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,7 @@
 
 	Door  *net.TCPListener // at Listen, if it is held already: the fleet closes it
 	Since time.Time        // when this process began; zero: now
+	Wire  member.Wire      // nil: sockets are used as they are
 }
 
 // Told is what a fleet tells its agent, by tasks of its own. Each must not wait.
@@ -78,13 +79,16 @@
 	gossip atomic.Int64 // bytes
 	texts  []shared
 
-	mu     sync.Mutex
-	met    time.Time // when anyone was first met
-	part   float64
-	trips  []time.Duration
-	losses []float64
-	matrix distance.Matrix
-	ready  bool
+	mu      sync.Mutex
+	met     time.Time // when anyone was first met
+	part    float64
+	trips   []time.Duration
+	losses  []float64
+	matrix  distance.Matrix
+	madeOf  *member.View // the matrix was, and of facts that have changed so often
+	changes uint64
+	made    int
+	ready   bool
 }
 
 // New listens. zones are the sites, in the order in which the module counts them.
@@ -130,11 +134,12 @@
 		},
 		Probe: func(data []byte, from netip.AddrPort, at time.Time) { f.prober.Heard(data, from, at) },
 		Call:  f.relay.serve,
+		Wire:  cfg.Wire,
 	})
 	if err != nil {
 		return nil, err
 	}
-	f.prober = distance.New(distance.Config{Self: cfg.Name, Site: cfg.Site, Label: cfg.Label, Alive: f.list.Alive, Write: f.list.Write, Facts: f.facts})
+	f.prober = distance.New(distance.Config{Self: cfg.Name, Site: cfg.Site, Label: cfg.Label, View: f.list.View, Write: f.list.Write, Facts: f.facts})
 	f.pacer = start.New(start.Config{Rate: cfg.ListRate, Met: func() bool { return f.list.Met() > 0 }, Facts: f.facts})
 	return f, nil
 }
@@ -172,19 +177,12 @@
 	f.mu.Unlock()
 	if !was {
 		f.list.Reached(member.Serving)
-		f.cfg.Log.Info("start", "step", "serving", "members", len(f.list.Alive()), "took", time.Since(f.born))
+		f.cfg.Log.Info("start", "step", "serving", "members", f.list.View().Len(), "took", time.Since(f.born))
 	}
 }
 
 // starters counts who is seen to start, this process included.
-func (f *Fleet) starters() (n int) {
-	for _, m := range f.list.Alive() {
-		if m.Phase == member.Starting {
-			n++
-		}
-	}
-	return max(1, n)
-}
+func (f *Fleet) starters() int { return max(1, f.list.View().Starting()) }
 
 const summaryEvery = 10 * time.Second
 
@@ -194,7 +192,10 @@
 	defer tick.Stop()
 	summary := time.NewTicker(summaryEvery)
 	defer summary.Stop()
+	past := time.NewTimer(0) // a row may have gone past its bound: no matrix that rests on it stands for another tick
+	defer past.Stop()
 	for n := 0; ; n++ {
+		due := n%2 == 0
 		select {
 		case <-ctx.Done():
 			return
@@ -202,18 +203,38 @@
 			f.summarize()
 		case <-f.turn:
 		case <-tick.C:
+		case <-past.C:
+			due = true
 		}
 		f.facts.Tick()
 		f.reckon()
-		if f.cfg.Matrix && n%2 == 0 {
+		if f.cfg.Matrix && due {
 			f.measure()
+			_, until := f.facts.Changes(fact.Distance)
+			past.Reset(max(time.Millisecond, time.Until(until)))
 		}
 	}
 }
 
-// measure tells the agent how far the sites are, where that has changed.
+// measure tells the agent how far the sites are, where that has changed. The matrix stands until a row says something
+// else or goes past its bound, or who is there changes.
 func (f *Fleet) measure() {
-	m := distance.Make(f.facts.Now(fact.Distance), f.list.Alive())
+	changes, _ := f.facts.Changes(fact.Distance)
+	view := f.list.View()
+	f.mu.Lock()
+	stands, m := f.madeOf == view && f.changes == changes, f.matrix
+	f.mu.Unlock()
+	var rows []fact.Fact
+	if !stands || f.cfg.Trace != nil { // a matrix that stands is a use of its rows, which a trace has to show
+		rows = f.facts.Now(fact.Distance)
+	}
+	if f.cfg.Trace != nil {
+		defer func() { f.trace(map[string]any{"matrix": matrixLine(m)}) }()
+	}
+	if stands {
+		return
+	}
+	m = distance.Make(rows, view)
 	trips, losses := make([]time.Duration, len(f.zones)), make([]float64, len(f.zones))
 	for i, zone := range f.zones {
 		if e, known := m.Of(f.cfg.Site, zone); known {
@@ -221,13 +242,11 @@
 		}
 	}
 	f.mu.Lock()
-	f.matrix = m
+	f.matrix, f.madeOf, f.changes = m, view, changes
+	f.made++
 	same := slices.Equal(trips, f.trips) && slices.Equal(losses, f.losses)
 	f.trips, f.losses = trips, losses
 	f.mu.Unlock()
-	if f.cfg.Trace != nil {
-		f.trace(map[string]any{"matrix": matrixLine(m)})
-	}
 	if !same && f.told.Distances != nil {
 		f.told.Distances(trips, losses)
 	}
@@ -255,13 +274,7 @@
 // have, except those that are dead for certain: of these the others use it while a word no older than its bound says so.
 // Who is merely not heard keeps its part: it may be alive beyond a cut. So the sum of all parts stays within the limit.
 func (f *Fleet) reckon() {
-	alive, agents := map[string]bool{}, 0
-	for _, m := range f.list.Alive() {
-		alive[m.Name] = true
-		if !m.Hub { // it has no part
-			agents++
-		}
-	}
+	view := f.list.View()
 	gone, me := map[string]bool{}, false
 	for _, g := range f.facts.Now(fact.Gone) {
 		var names []string
@@ -271,7 +284,7 @@
 		for _, name := range names {
 			if name == f.cfg.Name {
 				me = true
-			} else if !alive[name] && !f.list.WasHub(name) {
+			} else if _, alive := view.Named(name); !alive && !f.list.WasHub(name) {
 				gone[name] = true
 			}
 		}
@@ -284,7 +297,7 @@
 	sure := now.Sub(f.born) >= f.cfg.Bounds[fact.Gone] || !f.met.IsZero() && now.Sub(f.met) >= metFor && !me
 	part := thin / float64(f.cfg.Most)
 	if sure {
-		part = 1 / float64(max(1, agents, f.cfg.Most-len(gone)))
+		part = 1 / float64(max(1, view.Agents(), f.cfg.Most-len(gone)))
 	}
 	same := part == f.part
 	f.part = part
@@ -336,7 +349,7 @@
 	f.mu.Lock()
 	part := f.part
 	f.mu.Unlock()
-	args := []any{"members", len(f.list.Alive()), "part", part, "facts", st.Held, "malformed", st.Malformed, "stops", st.Stops, "bytes", f.gossip.Swap(0)}
+	args := []any{"members", f.list.View().Len(), "part", part, "facts", st.Held, "malformed", st.Malformed, "stops", st.Stops, "bytes", f.gossip.Swap(0)}
 	for kind, k := range st.Kinds {
 		if k.Used > 0 || k.Refused > 0 {
 			args = append(args, kind, k.String())
@@ -353,13 +366,3 @@
 func (f *Fleet) trace(line map[string]any) {
 	fact.Trace{W: f.cfg.Trace}.Line(line)
 }
-
-// named is the member of a name, if it is there.
-func (f *Fleet) named(name string) []member.Member {
-	for _, m := range f.list.Alive() {
-		if m.Name == name {
-			return []member.Member{m}
-		}
-	}
-	return nil
-}
--- a/internal/fleet/hubs.go
+++ b/internal/fleet/hubs.go
@@ -16,8 +16,8 @@
 
 // Hubs are the other hubs that are there.
 func (f *Fleet) Hubs() (list []member.Member) {
-	for _, m := range f.list.Alive() {
-		if m.Hub && m.Name != f.cfg.Name {
+	for m := range f.list.View().Hubs() {
+		if m.Name != f.cfg.Name {
 			list = append(list, m)
 		}
 	}
@@ -30,7 +30,7 @@
 // Flat are the names of the agents that are members themselves.
 func (f *Fleet) Flat() map[string]bool {
 	names := map[string]bool{}
-	for _, m := range f.list.Alive() {
+	for m := range f.list.View().All() {
 		if !m.Hub {
 			names[m.Name] = true
 		}
@@ -45,5 +45,5 @@
 
 // Matrix is how far the sites are from each other, as known now.
 func (f *Fleet) Matrix() distance.Matrix {
-	return distance.Make(f.facts.Now(fact.Distance), f.list.Alive())
+	return distance.Make(f.facts.Now(fact.Distance), f.list.View())
 }
--- a/internal/fleet/member/hubs.go
+++ b/internal/fleet/member/hubs.go
@@ -10,7 +10,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := map[netip.AddrPort]bool{l.t.advertise: true}
-	for _, m := range l.members {
+	for _, m := range l.order {
 		known[m.Addr] = true
 	}
 	for _, m := range l.dead {
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -67,9 +67,15 @@
 
 // askFor is whom to ask for a text of a source: the source, then others.
 func (f *Fleet) askFor(source string) texts.Asked {
-	a := texts.Asked{Dial: f.list.Dial}
-	for _, m := range append(f.named(source), f.list.Alive()...) {
-		if m.Name != f.cfg.Name && len(a.Addrs) < textsTries {
+	a, view := texts.Asked{Dial: f.list.Dial}, f.list.View()
+	if m, there := view.Named(source); there {
+		a.Addrs = append(a.Addrs, m.Addr.String())
+	}
+	for m := range view.All() {
+		if len(a.Addrs) == textsTries {
+			break
+		}
+		if m.Name != f.cfg.Name {
 			a.Addrs = append(a.Addrs, m.Addr.String())
 		}
 	}
