Let who runs an agent's side of a hub see what passes its connections

What an agent of a hub costs is to be measured on many in one process, as for a flat fleet, whose connections can be watched. Config.Dial opens connections to hubs; Addr is where others see whether the process has ended. Nothing changes without it: internal/fleet/spoke passes under -race.

--- a/internal/fleet/spoke/lists.go
+++ b/internal/fleet/spoke/lists.go
@@ -80,7 +80,7 @@
 
 // Dial opens a connection to a hub, or to another agent.
 func (s *Spoke) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	return s.dialer.DialContext(ctx, network, addr)
+	return s.dial(ctx, network, addr)
 }
 
 // Heard takes a sign of life of a source: the flat fleet passes on what it hears.
--- a/internal/fleet/spoke/spoke.go
+++ b/internal/fleet/spoke/spoke.go
@@ -41,8 +41,12 @@
 	Flat                        Flat              // nil: there is no flat fleet to fall back to
 	Log                         *slog.Logger
 	Trace                       io.Writer // a line for each fact used, and for each part taken; nil: none
+	Dial                        Dial      // nil: from the address of Listen
 }
 
+// Dial opens connections to hubs. What it returns to a stream must be able to close one way, as a TCP connection does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Flat makes the flat fleet of this agent at an address that is held already, by a process that began then.
 type Flat func(door *net.TCPListener, began time.Time, told fleet.Told) (*fleet.Fleet, error)
 
@@ -58,7 +62,7 @@
 	facts       *fact.Store
 	pacer       *start.Pacer
 	texts       []*texts.Kind // that it follows
-	dialer      net.Dialer
+	dial        Dial
 	door        *door
 	flat        atomic.Pointer[fleet.Fleet] // nil: it does not run
 	serving     atomic.Bool
@@ -100,9 +104,12 @@
 	}
 	now := time.Now()
 	s := &Spoke{cfg: cfg, told: told, zones: zones, hubs: order(cfg.Name, cfg.Site, cfg.Region, cfg.Hubs), born: now, lost: now,
-		incarnation: uint64(now.UnixMilli()),                                                         // orders the processes of one name; a clock set back costs a fact's bound
-		dialer:      net.Dialer{LocalAddr: &net.TCPAddr{IP: listen.Addr().AsSlice()}, KeepAlive: -1}, // who is called knows by it who calls
+		incarnation: uint64(now.UnixMilli()), // orders the processes of one name; a clock set back costs a fact's bound
 		turn:        make(chan struct{}, 1), attached: make(chan struct{}), known: Known{Part: -1}}
+	if s.dial = cfg.Dial; s.dial == nil {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: listen.Addr().AsSlice()}, KeepAlive: -1} // who is called knows by it who calls
+		s.dial = d.DialContext
+	}
 	s.choose = newChooser(len(s.hubs), xxhash.Sum64String(cfg.Name)^s.incarnation)
 	s.facts = fact.New(cfg.Name, s.incarnation, cfg.Bounds, fact.Trace{W: cfg.Trace}.Use)
 	s.pacer = start.New(start.Config{Rate: cfg.ListRate, Met: s.met, Facts: s.facts})
@@ -123,6 +130,9 @@
 	return nil
 }
 
+// Addr is where others see whether this process has ended.
+func (s *Spoke) Addr() string { return s.door.address() }
+
 // hub is the address of the hub that this agent is attached to; "": of none.
 func (s *Spoke) hub() string {
 	s.mu.Lock()
--- a/internal/fleet/spoke/stream.go
+++ b/internal/fleet/spoke/stream.go
@@ -39,12 +39,18 @@
 
 func (e *busyError) Error() string { return fmt.Sprintf("it is busy for %v", e.after) }
 
+// halfCloser is a connection that can be closed one way.
+type halfCloser interface {
+	net.Conn
+	CloseWrite() error
+}
+
 // stream is an agent's stream to one hub: one task reads it, one writes it.
 type stream struct {
 	s      *Spoke
 	hub    Hub
 	name   string // the hub's own
-	conn   *net.TCPConn
+	conn   halfCloser
 	r      *bufio.Reader
 	opened time.Time // Hello was written then: whatever comes was written later
 	ctx    context.Context
@@ -62,11 +68,11 @@
 func (s *Spoke) open(ctx context.Context, h Hub) (*stream, error) {
 	within, cancel := context.WithTimeout(ctx, openWithin)
 	defer cancel()
-	conn, err := s.dialer.DialContext(within, "tcp", h.Addr)
+	conn, err := s.dial(within, "tcp", h.Addr)
 	if err != nil {
 		return nil, err
 	}
-	x := &stream{s: s, hub: h, conn: conn.(*net.TCPConn), r: bufio.NewReader(conn), done: make(chan struct{})}
+	x := &stream{s: s, hub: h, conn: conn.(halfCloser), r: bufio.NewReader(conn), done: make(chan struct{})}
 	stop := context.AfterFunc(within, func() { conn.Close() })
 	if err = x.greet(); !stop() {
 		err = cmp.Or(err, within.Err())
--- a/internal/fleet/spoke/texts.go
+++ b/internal/fleet/spoke/texts.go
@@ -87,7 +87,7 @@
 }
 
 func (s *Spoke) whom() texts.Asked {
-	a := texts.Asked{Dial: s.dialer.DialContext}
+	a := texts.Asked{Dial: s.dial}
 	if addr := s.hub(); addr != "" {
 		a.Addrs = []string{addr}
 	}
