Measure fleets with hubs as flat ones are, hubs in processes of their own

Whether an agent's work stays the same as a fleet grows could not be measured where there are hubs. The mode "hubs" of internal/scale starts seven hubs (martenbeam hub, one a zone) and hollow agents with an agent's side alone, in every table; modes take turns at each size (-scale.modes), and runs can be added later (-scale.first). New: settings as a change, a hub that dies at the moment of a change, all agents at one hub. Between hubs nothing can be cut here, and one hub measures nothing within its own zone, so six round trips of seven are waited for.

--- a/internal/scale/change_test.go
+++ b/internal/scale/change_test.go
@@ -14,28 +14,41 @@
 
 func changeTable(t *testing.T) {
 	for _, n := range sized(t, 14) {
-		for run := range ran() {
+		for _, run := range ran() {
 			if *full { // one fleet for both
-				t.Run(fmt.Sprintf("%d-%d", n, run), func(t *testing.T) { changes(t, hollow.Mode(*mode), n, run, changed) })
+				for _, mode := range joined() {
+					t.Run(fmt.Sprintf("%s-%d-%d", mode, n, run), func(t *testing.T) { changes(t, mode, n, run, changed(mode)) })
+				}
 				continue
 			}
-			for _, what := range changed {
-				t.Run(what.String(), func(t *testing.T) {
-					t.Parallel()
-					changes(t, hollow.Mode(*mode), n, run, []hollow.Change{what})
-				})
+			for _, mode := range joined() {
+				for _, what := range changed(mode) {
+					t.Run(string(mode)+"-"+what.String(), func(t *testing.T) {
+						t.Parallel()
+						changes(t, mode, n, run, []hollow.Change{what})
+					})
+				}
 			}
 		}
 	}
 }
 
-// changed are the changes that are measured. Nothing carries settings yet.
-var changed = []hollow.Change{hollow.Policy, hollow.List}
+// changed are the changes that are measured. Hubs alone carry settings.
+func changed(mode hollow.Mode) []hollow.Change {
+	list := []hollow.Change{hollow.Policy, hollow.List}
+	if mode == hollow.Hubs {
+		list = append(list, hollow.Settings)
+	}
+	return list
+}
 
 // make makes a change at its source.
 func (c *crew) make(what hollow.Change) (version int64, at time.Time) {
-	if what == hollow.Policy {
+	switch what {
+	case hollow.Policy:
 		return c.give()
+	case hollow.Settings:
+		return c.hubs.change(c.t)
 	}
 	return c.service.change()
 }
@@ -119,8 +132,11 @@
 		share := s.took.Seconds() / before.took.Seconds()
 		each := float64(n * repeats)
 		part := hollow.Policies
-		if what == hollow.List {
+		switch what {
+		case hollow.List:
 			part = hollow.Lists
+		case hollow.Settings:
+			part = hollow.SettingsTexts
 		}
 		r.Values["a change: bytes out"] = (float64(s.traffic.Out[part].Bytes) - share*float64(before.traffic.Out[part].Bytes)) / each
 		r.Values["a change: bytes in"] = (float64(s.traffic.In[part].Bytes) - share*float64(before.traffic.In[part].Bytes)) / each
@@ -132,7 +148,13 @@
 		keep(t, r)
 	}
 	for _, what := range changed {
-		keep(t, c.paused(began, what, draw, settle), c.lossy(began, what, settle), c.cut(began, what, settle), c.restarting(began, what))
+		keep(t, c.paused(began, what, draw, settle), c.lossy(began, what, settle))
+		if c.hubs == nil { // hubs are processes of their own, between which nothing can be cut here
+			keep(t, c.cut(began, what, settle))
+		} else {
+			keep(t, c.hubDead(began, what, draw))
+		}
+		keep(t, c.restarting(began, what))
 	}
 }
 
@@ -194,10 +216,9 @@
 func (c *crew) restarting(r row, what hollow.Change) row {
 	r.Case, r.Values = what.String()+", a third restarting", map[string]float64{}
 	third := func(i int) bool { return i%3 == 1 }
-	for i, a := range c.agents {
+	for i := range c.agents {
 		if third(i) {
-			a.Kill()
-			c.killed = append(c.killed, a)
+			c.kill(i)
 		}
 	}
 	m := c.measure(false)
--- a/internal/scale/fleet_test.go
+++ b/internal/scale/fleet_test.go
@@ -172,8 +172,13 @@
 	others int // members that are not hollow
 	expect int // zones to which round trips have to be known; 0: all
 
-	agents []*hollow.Agent // by number; the first is the policy's source
+	mu     sync.Mutex      // of both lists
+	agents []*hollow.Agent // by number; the first is the policy's source in a flat fleet
 	killed []*hollow.Agent
+
+	hubs  *hubs // nil: the fleet is flat
+	one   bool  // all agents know the first hub alone
+	parts *sums
 }
 
 func newCrew(t testing.TB, mode hollow.Mode, n int, matrix bool) *crew {
@@ -182,6 +187,11 @@
 	if len(c.label) > 64 {
 		c.label = c.label[len(c.label)-64:]
 	}
+	if mode == hollow.Hubs {
+		c.policy = 1
+		c.hubs = startHubs(t, c)
+	}
+	c.parts = c.watchParts()
 	t.Cleanup(c.close)
 	return c
 }
@@ -192,6 +202,9 @@
 func (c *crew) start(i int, listen string) {
 	s := hollow.Spec{Mode: c.mode, Name: c.name(i), Zone: zones[i%len(zones)], Zones: zones, Listen: listen, Label: c.label, Most: c.n + c.others, Matrix: c.matrix,
 		Service: c.service.addr, Source: i == 0, Network: c.net}
+	if c.hubs != nil {
+		s.Source, s.Hubs, s.Region = false, c.hubs.known(c.one), s.Zone[:1]
+	}
 	s.Acted = func(what hollow.Change, version int64, at time.Time) { c.came.acted(s.Name, what, version, at) }
 	for j := range min(seeds, c.n) {
 		if j != i && c.agents[j] != nil {
@@ -202,8 +215,10 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	c.mu.Lock()
 	c.agents[i] = a
-	if i == 0 {
+	c.mu.Unlock()
+	if i == 0 && c.hubs == nil {
 		c.policy = max(c.policy, 1)
 		if err := a.Give(c.policy, policyText(c.policy)); err != nil {
 			c.t.Fatal(err)
@@ -226,6 +241,10 @@
 func (c *crew) give() (version int64, at time.Time) {
 	c.policy++
 	at = time.Now()
+	if c.hubs != nil {
+		c.hubs.givePolicy(c.t, c.policy)
+		return c.policy, at
+	}
 	if err := c.agents[0].Give(c.policy, policyText(c.policy)); err != nil {
 		c.t.Fatal(err)
 	}
@@ -246,8 +265,14 @@
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	s := hollow.State{Members: c.running() + c.others, Part: 1 / float64(c.n+c.others), Policy: c.policy, List: c.service.version}
+	if c.hubs != nil {
+		s.Settings = c.hubs.settings
+	}
 	if c.matrix {
 		s.Distances = cmp.Or(c.expect, len(zones))
+		if c.hubs != nil {
+			s.Distances = len(zones) - 1 // one hub alone measures nothing within its own zone
+		}
 	}
 	return s
 }
@@ -325,6 +350,8 @@
 
 // traffic is what has passed all agents' sockets, those that were killed included.
 func (c *crew) traffic() (sum hollow.Traffic) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, a := range slices.Concat(c.agents, c.killed) {
 		if a == nil {
 			continue
@@ -344,13 +371,21 @@
 
 // restart kills agent i, and starts it anew at its address.
 func (c *crew) restart(i int) {
+	c.start(i, c.kill(i))
+}
+
+// kill kills agent i, and returns its address.
+func (c *crew) kill(i int) string {
 	a := c.agents[i]
 	a.Kill()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.killed = append(c.killed, a)
-	c.start(i, a.Addr())
+	return a.Addr()
 }
 
 func (c *crew) close() {
+	c.parts.stop(c.t)
 	var all sync.WaitGroup
 	for _, a := range c.agents {
 		if a != nil {
--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -17,14 +17,18 @@
 	"brookferry/internal/agent/discovery"
 	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/member"
+	"brookferry/internal/fleet/source"
+	"brookferry/internal/fleet/spoke"
 	"brookferry/internal/residency"
 )
 
 // Mode is how the agents of a fleet are joined.
 type Mode string
 
-// Flat: everyone is a member, and tells everyone.
-const Flat Mode = "flat"
+const (
+	Flat Mode = "flat" // everyone is a member, and tells everyone
+	Hubs Mode = "hubs" // each has one stream to one hub
+)
 
 // Change is what can change for an agent by its fleet.
 type Change int
@@ -32,7 +36,7 @@
 const (
 	Policy   Change = iota // the residency policy
 	List                   // of backends
-	Settings               // nothing carries them yet
+	Settings               // carried by hubs alone
 )
 
 func (c Change) String() string { return [...]string{"policy", "list", "settings"}[c] }
@@ -42,8 +46,10 @@
 	Mode       Mode
 	Name, Zone string
 	Zones      []string
-	Listen     string // "": any port of loopback
-	Seeds      []string
+	Listen     string      // "": any port of loopback
+	Seeds      []string    // of a flat fleet
+	Hubs       []spoke.Hub // of a fleet with hubs
+	Region     string      // with hubs: an agent whose own hub is away prefers those of its region
 	Label      string
 	Most       int
 	Matrix     bool
@@ -55,7 +61,7 @@
 
 // State is what an agent knows.
 type State struct {
-	Members                int     // this one included
+	Members                int     // this one included; as hubs tell it, where there are hubs
 	Part                   float64 // of the in-flight limit; 0: none told yet
 	Distances              int     // zones to which a round trip is known
 	Policy, List, Settings int64   // versions; 0: none, as settings are always
@@ -65,7 +71,9 @@
 type Agent struct {
 	spec     Spec
 	wire     *wire
-	fleet    *fleet.Fleet
+	place    place
+	fleet    *fleet.Fleet // nil: it has a hub
+	spoke    *spoke.Spoke // nil: the fleet is flat
 	holder   *residency.Holder
 	follower *discovery.Follower
 	end      context.CancelFunc
@@ -74,6 +82,14 @@
 	trips    atomic.Int32
 	list     atomic.Int64
 	policy   atomic.Int64
+	settings atomic.Int64
+}
+
+// place is an agent's place in its fleet.
+type place interface {
+	source.Sources
+	Run(ctx context.Context) error
+	Addr() string
 }
 
 // What the agent's own settings say of a call for lists.
@@ -85,7 +101,7 @@
 
 // Start starts an agent.
 func Start(s Spec) (*Agent, error) {
-	if s.Mode != Flat {
+	if s.Mode != Flat && s.Mode != Hubs {
 		return nil, fmt.Errorf("there is no mode %q", s.Mode)
 	}
 	if s.Network == nil {
@@ -101,37 +117,52 @@
 		a.acted(Policy, version)
 		return nil
 	})
+	told := fleet.Told{Part: func(part float64) { a.part.Store(math.Float64bits(part)) }, Distances: a.far}
 	var err error
-	a.fleet, err = fleet.New(fleet.Config{Name: s.Name, Site: s.Zone, Version: "hollow", Listen: s.Listen, Seeds: s.Seeds, Label: s.Label, Most: s.Most,
-		Relayed: true, ListRate: listRate, Matrix: s.Matrix, Log: log, Residency: a.holder, Source: s.Source, Wire: a.wire},
-		s.Zones, fleet.Told{Part: func(part float64) { a.part.Store(math.Float64bits(part)) }, Distances: func(trips []time.Duration, _ []float64) {
-			known := int32(0)
-			for _, d := range trips {
-				if d > 0 {
-					known++
-				}
-			}
-			a.trips.Store(known)
-		}})
+	if s.Mode == Hubs {
+		err = a.attach(log, told)
+	} else {
+		err = a.join(log, told)
+	}
 	if err != nil {
 		return nil, err
 	}
-	s.Network.place(a.fleet.Addr(), s.Zone)
+	s.Network.Place(a.place.Addr(), s.Zone)
 	ctx, end := context.WithCancel(context.Background())
 	a.end = end
-	a.tasks.Go(func() { _ = a.fleet.Run(ctx) }) // that its sockets are closed is how a kill ends it
+	a.tasks.Go(func() { _ = a.place.Run(ctx) }) // that its sockets are closed is how a kill ends it
 	if s.Service != "" {
 		a.follow(ctx, log)
 	}
 	return a, nil
 }
 
+// join has the agent be a member of a flat fleet.
+func (a *Agent) join(log *slog.Logger, told fleet.Told) (err error) {
+	s := &a.spec
+	a.fleet, err = fleet.New(fleet.Config{Name: s.Name, Site: s.Zone, Version: "hollow", Listen: s.Listen, Seeds: s.Seeds, Label: s.Label, Most: s.Most,
+		Relayed: true, ListRate: listRate, Matrix: s.Matrix, Log: log, Residency: a.holder, Source: s.Source, Wire: a.wire}, s.Zones, told)
+	a.place = a.fleet
+	return err
+}
+
+// far takes how far the zones are.
+func (a *Agent) far(trips []time.Duration, _ []float64) {
+	known := int32(0)
+	for _, d := range trips {
+		if d > 0 {
+			known++
+		}
+	}
+	a.trips.Store(known)
+}
+
 // follow follows lists as an agent does: the decision module asks for a watch, and again with a growing wait after a failure.
 func (a *Agent) follow(ctx context.Context, log *slog.Logger) {
 	born, fails := time.Now(), 0
 	a.follower = discovery.New(discovery.Config{
 		Translator: discovery.Translator{Zones: a.spec.Zones, At: func(t time.Time) time.Duration { return t.Sub(born) }, Log: log},
-		Addr:       a.spec.Service, Asked: true, ConnectTimeout: connectTimeout, Dial: a.wire.dialService, Sources: a.fleet,
+		Addr:       a.spec.Service, Asked: true, ConnectTimeout: connectTimeout, Dial: a.wire.dialService, Sources: a.place,
 		Post: func(u discovery.Update) {
 			if u.List.Kind != brookferry.ListFailed {
 				fails = 0
@@ -157,16 +188,34 @@
 func (a *Agent) Spec() Spec { return a.spec }
 
 // Addr is where others reach it.
-func (a *Agent) Addr() string { return a.fleet.Addr() }
+func (a *Agent) Addr() string { return a.place.Addr() }
 
 // State is what it knows now.
 func (a *Agent) State() State {
-	return State{Members: a.fleet.Count(), Part: math.Float64frombits(a.part.Load()), Distances: int(a.trips.Load()),
-		Policy: a.policy.Load(), List: a.list.Load()}
+	s := State{Part: a.Part(), Distances: int(a.trips.Load()), Policy: a.policy.Load(), List: a.list.Load(), Settings: a.settings.Load()}
+	if a.fleet != nil {
+		s.Members = a.fleet.Count()
+	} else {
+		s.Members = int(a.spoke.Known().Census.Attached)
+	}
+	return s
 }
 
-// Members are those that it knows of.
-func (a *Agent) Members() []member.Member { return a.fleet.Members() }
+// Part is the part of the in-flight limit that it uses now; 0: none told yet, or it has ended.
+func (a *Agent) Part() float64 {
+	if a.wire.dead.Load() {
+		return 0
+	}
+	return math.Float64frombits(a.part.Load())
+}
+
+// Members are those that it knows of. An agent of a hub knows none.
+func (a *Agent) Members() []member.Member {
+	if a.fleet == nil {
+		return nil
+	}
+	return a.fleet.Members()
+}
 
 // Give gives a policy at a source.
 func (a *Agent) Give(version int64, text string) error { return a.holder.Take(version, text) }
@@ -179,13 +228,16 @@
 	a.Resume()
 	a.end()
 	a.tasks.Wait()
+	a.wire.end()
 }
 
 // Kill ends the agent without a goodbye: its sockets close at once. What its tasks still do is waited for by Wait.
 func (a *Agent) Kill() {
 	a.wire.end()
 	a.Resume()
-	_ = a.fleet.Abort() // closed is all that it is to be
+	if a.fleet != nil {
+		_ = a.fleet.Abort() // closed is all that it is to be
+	}
 	a.end()
 }
 
--- /dev/null
+++ b/internal/scale/hollow/hubs.go
@@ -0,0 +1,29 @@
+package hollow
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strings"
+
+	"brookferry/internal/fleet"
+	"brookferry/internal/fleet/spoke"
+	"brookferry/internal/settings"
+)
+
+// attach has the agent have a hub.
+func (a *Agent) attach(log *slog.Logger, told fleet.Told) (err error) {
+	s := &a.spec
+	held := settings.NewHolder(settings.Config{Log: log, Apply: func(x *settings.Settings) ([]string, error) {
+		a.settings.Store(x.Version)
+		a.acted(Settings, x.Version)
+		return nil, nil
+	}})
+	a.spoke, err = spoke.New(spoke.Config{Name: s.Name, Site: s.Zone, Region: s.Region, Version: "hollow", Label: s.Label, Listen: s.Listen, Hubs: s.Hubs,
+		Most: s.Most, Await: !strings.HasSuffix(s.Listen, ":0"), Relayed: true, ListRate: listRate, Residency: a.holder, Settings: held, Log: log,
+		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return a.wire.Dial(ctx, &net.Dialer{KeepAlive: -1}, addr)
+		}}, s.Zones, told)
+	a.place = a.spoke
+	return err
+}
--- a/internal/scale/hollow/wire.go
+++ b/internal/scale/hollow/wire.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"brookferry/internal/fleet/hub/frame"
 	"brookferry/internal/fleet/member"
 )
 
@@ -25,14 +26,16 @@
 	Distances // round trips; the rows that tell of them are facts
 	Lists
 	Policies
+	HubStream // states and facts, between an agent and its hub
+	SettingsTexts
 	parts
 )
 
 // Parts are all of them.
-var Parts = []Part{Members, Facts, Distances, Lists, Policies}
+var Parts = []Part{Members, Facts, Distances, Lists, Policies, HubStream, SettingsTexts}
 
 func (p Part) String() string {
-	return [...]string{"members", "facts", "distances", "list", "policy"}[p]
+	return [...]string{"members", "facts", "distances", "list", "policy", "hub stream", "settings"}[p]
 }
 
 // Count is bytes of payload, and messages: datagrams, and writes or reads of a stream.
@@ -61,7 +64,8 @@
 // NewNetwork is a network without faults.
 func NewNetwork() *Network { return &Network{} }
 
-func (n *Network) place(addr, zone string) {
+// Place says in which zone an address is.
+func (n *Network) Place(addr, zone string) {
 	if at, err := netip.ParseAddrPort(addr); err == nil {
 		n.zones.Store(at, zone)
 	}
@@ -112,7 +116,7 @@
 	in, out   [parts]counter
 	strangers counter
 
-	dead   atomic.Bool
+	dead   atomic.Bool // killed, or stopped
 	paused atomic.Bool
 	mu     sync.Mutex
 	gate   chan struct{} // open while paused
@@ -302,6 +306,9 @@
 	return s.Conn.Close()
 }
 
+// CloseWrite says that no more is written.
+func (s *stream) CloseWrite() error { return s.Conn.(*net.TCPConn).CloseWrite() }
+
 func (s *stream) SetDeadline(t time.Time) error {
 	s.read.Store(&t)
 	s.write.Store(&t)
@@ -345,6 +352,10 @@
 		switch {
 		case bytes.HasPrefix(p, []byte("GET /residency")):
 			part = Policies
+		case bytes.HasPrefix(p, []byte("GET "+frame.Path+" ")):
+			part = HubStream
+		case bytes.HasPrefix(p, []byte("GET /settings/")):
+			part = SettingsTexts
 		case bytes.HasPrefix(p, []byte("GET ")):
 			part = Lists
 		}
--- a/internal/scale/real_test.go
+++ b/internal/scale/real_test.go
@@ -15,17 +15,14 @@
 )
 
 func realTable(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "martenbeam")
-	if text, err := exec.Command("go", "build", "-o", program, "brookferry/cmd/martenbeam").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, text)
-	}
+	program := built(t)
 	for _, n := range sized(t, 16) {
-		for run := range ran() {
+		for _, run := range ran() {
 			real := 12
 			if !*full {
 				real = 2
 			}
-			t.Run(fmt.Sprintf("%d-%d", n, run), func(t *testing.T) { keep(t, realAmongHollow(t, program, hollow.Mode(*mode), n-real, real, run)) })
+			t.Run(fmt.Sprintf("%d-%d", n, run), func(t *testing.T) { keep(t, realAmongHollow(t, program, hollow.Flat, n-real, real, run)) })
 		}
 	}
 }
--- a/internal/scale/start_test.go
+++ b/internal/scale/start_test.go
@@ -20,15 +20,17 @@
 
 func startTable(t *testing.T) {
 	for _, n := range sized(t, 14) {
-		for run := range ran() {
+		for _, run := range ran() {
 			within := []time.Duration{time.Second, 10 * time.Second}
 			if !*full {
 				within = []time.Duration{200 * time.Millisecond}
 			}
-			for _, d := range within {
-				t.Run(fmt.Sprintf("%d-%v-%d", n, d, run), func(t *testing.T) { keep(t, startAll(t, hollow.Mode(*mode), n, d, run)) })
+			for _, mode := range joined() {
+				for _, d := range within {
+					t.Run(fmt.Sprintf("%s-%d-%v-%d", mode, n, d, run), func(t *testing.T) { keep(t, startAll(t, mode, n, d, run)) })
+				}
+				t.Run(fmt.Sprintf("%s-%d-zone-%d", mode, n, run), func(t *testing.T) { keep(t, startZone(t, mode, n, run)...) })
 			}
-			t.Run(fmt.Sprintf("%d-zone-%d", n, run), func(t *testing.T) { keep(t, startZone(t, hollow.Mode(*mode), n, run)...) })
 		}
 	}
 }
--- a/internal/scale/tables_test.go
+++ b/internal/scale/tables_test.go
@@ -22,8 +22,9 @@
 	sizes  = flag.String("scale.sizes", "30,100,300,600", "sizes of the fleets, with scale.full")
 	runs   = flag.Int("scale.runs", 3, "runs at each size, with scale.full")
 	out    = flag.String("scale.out", "", "a JSON file that the rows are added to; beside it the tables, as .md")
-	only   = flag.String("scale.only", "idle,start,change,real", "which tables to make")
-	mode   = flag.String("scale.mode", string(hollow.Flat), "how the agents are joined")
+	only   = flag.String("scale.only", "idle,start,change,real,load", "which tables to make")
+	modes  = flag.String("scale.modes", "flat,hubs", "how the agents are joined; at each size the modes take turns")
+	first  = flag.Int("scale.first", 0, "the first run's number, with scale.full: runs are added to those that the file holds")
 	matrix = flag.String("scale.matrix", "on,off", "whether round trips are measured, for idle agents")
 	pace   = flag.Duration("scale.pace", 10*time.Millisecond, "between two starts, where the start is not what is measured")
 	warm   = flag.Duration("scale.warm", 5*time.Second, "left out before an idle agent is measured, with scale.full")
@@ -45,16 +46,28 @@
 	return list
 }
 
-func ran() int {
-	if *full {
-		return *runs
+// ran are the numbers of the runs.
+func ran() (list []int) {
+	if !*full {
+		return []int{0}
+	}
+	for i := range *runs {
+		list = append(list, *first+i)
+	}
+	return list
+}
+
+// joined are the modes to measure, in turns.
+func joined() (list []hollow.Mode) {
+	for _, m := range strings.Split(*modes, ",") {
+		list = append(list, hollow.Mode(m))
 	}
-	return 1
+	return list
 }
 
 // row is one run of one table. Rates are for each agent and second.
 type row struct {
-	Table  string             `json:"table"` // idle, start, change or real
+	Table  string             `json:"table"` // idle, start, change, real or load
 	Mode   string             `json:"mode"`
 	N      int                `json:"n"`
 	Matrix bool               `json:"matrix"`
@@ -87,8 +100,9 @@
 	}
 	keeping.Lock()
 	defer keeping.Unlock()
+	file := strings.TrimSuffix(*out, ".json")
 	rep := report{Cores: runtime.NumCPU()}
-	if text, err := os.ReadFile(*out); err == nil {
+	if text, err := os.ReadFile(file + ".json"); err == nil {
 		if err := json.Unmarshal(text, &rep); err != nil {
 			t.Fatal(err)
 		}
@@ -99,10 +113,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(*out, append(text, '\n'), 0o644); err != nil {
+	if err := os.WriteFile(file+".json", append(text, '\n'), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(strings.TrimSuffix(*out, ".json")+".md", []byte(markdown(&rep)), 0o644); err != nil {
+	if err := os.WriteFile(file+".md", []byte(markdown(&rep)), 0o644); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -231,7 +245,7 @@
 
 // TestTables makes the tables. Small, it only shows that they can be made.
 func TestTables(t *testing.T) {
-	tables := map[string]func(*testing.T){"idle": idleTable, "start": startTable, "change": changeTable, "real": realTable}
+	tables := map[string]func(*testing.T){"idle": idleTable, "start": startTable, "change": changeTable, "real": realTable, "load": loadTable}
 	for _, name := range strings.Split(*only, ",") {
 		table := tables[name]
 		if table == nil {
@@ -250,8 +264,10 @@
 func idleTable(t *testing.T) {
 	for _, m := range strings.Split(*matrix, ",") {
 		for _, n := range sized(t, 14) {
-			for run := range ran() {
-				t.Run(fmt.Sprintf("%s-%d-%d", m, n, run), func(t *testing.T) { keep(t, idle(t, hollow.Mode(*mode), n, m == "on", run)) })
+			for _, run := range ran() {
+				for _, mode := range joined() {
+					t.Run(fmt.Sprintf("%s-%s-%d-%d", mode, m, n, run), func(t *testing.T) { keep(t, idle(t, mode, n, m == "on", run)) })
+				}
 			}
 		}
 	}
@@ -273,12 +289,15 @@
 		settle, measure = *warm, *window
 	}
 	time.Sleep(settle) // what a start leaves is not an idle agent's
+	hubs := c.hubs.meter(t)
 	m := c.measure(true)
 	time.Sleep(measure) // the span that is measured
 	s := m.end()
+	hubValues := hubs.end(s)
 	tasks := runtime.NumGoroutine()
 	heap, rss := memory()
 	r.Void, r.Values = s.void, map[string]float64{}
+	maps.Copy(r.Values, hubValues)
 	each := float64(n) * s.took.Seconds()
 	v := r.Values
 	profiled := 0.
@@ -299,7 +318,9 @@
 		v["bytes/s out"] += float64(s.traffic.Out[p].Bytes) / each
 		v["messages/s in"] += float64(s.traffic.In[p].Messages) / each
 		v["messages/s out"] += float64(s.traffic.Out[p].Messages) / each
-		v["bytes/s out, "+p.String()] = float64(s.traffic.Out[p].Bytes) / each
+		if s.traffic.Out[p].Bytes > 0 {
+			v["bytes/s out, "+p.String()] = float64(s.traffic.Out[p].Bytes) / each
+		}
 	}
 	v["heap kB"] = (heap - heap0) / 1e3 / float64(n)
 	v["resident kB"] = (rss - rss0) / 1e3 / float64(n)
@@ -316,7 +337,7 @@
 
 // The check that all know all finds an agent that tells an old version, or lacks anything else.
 func TestLaggards(t *testing.T) {
-	want := hollow.State{Members: 3, Part: 1. / 3, Distances: 7, Policy: 2, List: 42}
+	want := hollow.State{Members: 3, Part: 1. / 3, Distances: 7, Policy: 2, List: 42, Settings: 5}
 	if n, why := laggards([]told{told(want), told(want)}, want); n != 0 {
 		t.Errorf("%d lag: %s", n, why)
 	}
@@ -327,7 +348,7 @@
 		"4 members of 3":              func(s *hollow.State) { s.Members = 4 },
 		"a part of 0.1, not 0.3333":   func(s *hollow.State) { s.Part = 0.1 },
 		"round trips to 6 zones of 7": func(s *hollow.State) { s.Distances = 6 },
-		"settings 1, not 0":           func(s *hollow.State) { s.Settings = 1 },
+		"settings 4, not 5":           func(s *hollow.State) { s.Settings = 4 },
 	} {
 		old := want
 		spoil(&old)
