--- a/internal/fleet/spoke/hard_test.go
+++ b/internal/fleet/spoke/hard_test.go
@@ -329,6 +329,7 @@
 	go listen(ctx, n.hubs["a"].addr, t.Name(), "listener", func(x said) { words <- x })
 	atA[3].kill()
 	await(t, "their share of a dead one's part", all(list, part(1./11)))
+	await(t, "a census without it, by which the others reckon while this hub is not heard", all(list, func(k Known) bool { return k.Census.Attached == 8 }))
 
 	stopped := time.Now()
 	n.hubs["a"].signal(t, syscall.SIGSTOP)
