Pass facts on more often in a fleet of a few, as hubs are

Cause: a fact is passed on by each keeper as often as the log of the fleet's size says; in a fleet of seven a row of round trips once, anything else three times. So agents of hubs knew 3 to 5 of 6 round trips and too few members (a start of 600 with hubs did not come to know all in 30 s). Ruled out: the matrix (it has what it is given) and the hubs' membership (whole).

Below ten members each word goes six times, rows included; larger fleets as before. TestFewMissNothing fails without it.

--- a/internal/fleet/fact/fact_test.go
+++ b/internal/fleet/fact/fact_test.go
@@ -217,6 +217,58 @@
 	})
 }
 
+// Among a few, as hubs are, each word of each second comes to all while two thirds of its bound are left, but for one in a
+// hundred: nobody else tells of the same.
+func TestFewMissNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, seconds = 7, 200
+		rng := rand.New(rand.NewPCG(3, 4))
+		bounds := Bounds{Distance: 3 * time.Second, Census: 3 * time.Second}
+		var stores []*Store
+		for i := range n {
+			stores = append(stores, New(fmt.Sprint(i), 1, bounds, nil))
+		}
+		missed := map[Kind]int{}
+		for tick := range 10 * seconds {
+			time.Sleep(TickEvery)
+			for i, s := range stores {
+				s.Tick()
+				if tick%10 == i { // each tells once a second
+					s.Tell(Distance, s.self, []byte{byte(tick)})
+					s.Tell(Census, s.self, []byte{byte(tick)})
+				}
+				if tick%2 == 0 { // a round of gossip goes to three others
+					for _, to := range rng.Perm(n)[:3] {
+						if data := s.Gossip(1000, n); data != nil && to != i {
+							if err := stores[to].Hear(data); err != nil {
+								t.Fatal(err)
+							}
+						}
+					}
+				}
+			}
+			for kind := range bounds {
+				for _, s := range stores {
+					fresh := 0
+					for _, f := range s.Now(kind) {
+						if f.Age <= 2*time.Second {
+							fresh++
+						}
+					}
+					if tick > 50 && fresh < n {
+						missed[kind]++
+					}
+				}
+			}
+		}
+		for kind, k := range missed {
+			if most := n * 10 * seconds / 100; k > most {
+				t.Errorf("%v: %d times of %d a word was missing, at most %d", kind, k, n*10*seconds, most)
+			}
+		}
+	})
+}
+
 // What is new goes round quickly and then is not repeated for ever; a restarted observer's words replace the older ones.
 func TestSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -66,6 +66,7 @@
 	muteFor     = 3 * time.Second
 	mostHeld    = 20000 // facts: about 4 MB
 	sendsFactor = 3     // a fact is passed on so many times the log of the fleet's size
+	fewMembers  = 10    // below, as among hubs, a site has one observer, and nobody else tells of its way
 )
 
 type key struct {
@@ -332,11 +333,11 @@
 	if !s.wake(now) || now.Before(s.mute) {
 		return nil
 	}
-	times := int(math.Ceil(math.Log10(float64(members) + 1)))
+	times := max(2, int(math.Ceil(math.Log10(float64(members)+1))))
 	// What has been passed on often enough is not looked at again.
 	s.due = slices.DeleteFunc(s.due, func(h *held) bool {
 		most := sendsFactor * times
-		if h.Kind == Distance {
+		if h.Kind == Distance && members >= fewMembers {
 			most = times // it is told anew each second by several: that one is missed does no harm
 		}
 		return h.gone || h.sends >= most || h.age(now) > s.bounds[h.Kind]
