Leave round trips that are old out of the row that a hub tells

A row is as old as the oldest word it rests on, and words of up to the bound counted: when one hub fell silent, the row of every other zone was told with an age near the bound, and agents dropped all of it before the next came.

--- a/internal/fleet/distance/distance_test.go
+++ b/internal/fleet/distance/distance_test.go
@@ -231,6 +231,19 @@
 	}
 }
 
+// A site that was not heard of for a while is left out of a row: the rest is as old as it is without it.
+func TestRowLeavesOutTheOld(t *testing.T) {
+	m := Matrix{{"a", "b"}: {Trip: 3 * time.Millisecond, Age: time.Second}, {"a", "c"}: {Trip: 4 * time.Millisecond, Age: 2900 * time.Millisecond},
+		{"b", "c"}: {Trip: time.Millisecond}}
+	body, age := m.Row("a", 2*time.Second)
+	if r, err := ReadRow(body); err != nil || len(r) != 1 || r["b"].Trip != 3*time.Millisecond || age != time.Second {
+		t.Errorf("%v, %v, %v", r, age, err)
+	}
+	if body, _ := m.Row("a", time.Millisecond); body != nil {
+		t.Errorf("%x of what is too old", body)
+	}
+}
+
 func FuzzDatagram(f *testing.F) {
 	f.Add(datagram{what: ask, label: 1, nonce: 2, dwell: 3}.encode(member.ProbeByte))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/fleet/distance/row.go
+++ b/internal/fleet/distance/row.go
@@ -11,15 +11,15 @@
 )
 
 // Row is what a matrix says of a site, as the body that an observer there would tell, and the age of the oldest word that it
-// rests on. nil: it says nothing.
-func (m Matrix) Row(site string) (body []byte, age time.Duration) {
+// rests on. nil: it says nothing. What rests on a word older than this is left out: it would make the rest as old.
+func (m Matrix) Row(site string, within time.Duration) (body []byte, age time.Duration) {
 	var r row
 	for p, e := range m {
 		other := p.B
 		if p.B == site {
 			other = p.A
 		}
-		if p.A != site && p.B != site {
+		if p.A != site && p.B != site || e.Age > within {
 			continue
 		}
 		age = max(age, e.Age)
--- a/internal/fleet/hub/sum.go
+++ b/internal/fleet/hub/sum.go
@@ -113,7 +113,7 @@
 		if _, done := rows[x.site]; done || x.site == "" {
 			continue
 		}
-		if body, age := m.Row(x.site); body != nil {
+		if body, age := m.Row(x.site, s.fresh(fact.Distance)); body != nil {
 			rows[x.site] = fact.Fact{Kind: fact.Distance, Subject: x.site, Age: age, Body: body}
 		}
 	}
