--- a/internal/fleet/hub/parts_test.go
+++ b/internal/fleet/hub/parts_test.go
@@ -103,15 +103,18 @@
 		return nil, err
 	}
 	p.w.mu.Lock()
+	defer p.w.mu.Unlock() // up to the end: what takes connections is closed once the hub is not there any more
 	o := p.w.hubs[int(at.Port())-1000]
-	cut := o.srv == nil || p.w.cut(o.n, p.n)
-	p.w.mu.Unlock()
-	if cut {
+	if o.srv == nil || p.w.cut(o.n, p.n) {
 		return nil, errCut
 	}
 	near, far := net.Pipe()
-	o.conns <- far
-	return near, nil
+	select {
+	case o.conns <- far:
+		return near, nil
+	default: // its queue is full
+		return nil, errCut
+	}
 }
 
 func (p *place) Accept() (net.Conn, error) {
