--- a/internal/fleet/fact/store.go
+++ b/internal/fleet/fact/store.go
@@ -237,17 +237,7 @@
 func (h *held) age(now time.Time) time.Duration { return h.Age + now.Sub(h.at) }
 
 // Tell takes what this process itself has seen just now.
-func (s *Store) Tell(kind Kind, subject string, body []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	s.wake(now)
-	k := key{kind, subject, s.self}
-	s.seqs[k]++
-	f := Fact{Kind: kind, Subject: subject, Observer: s.self, Incarnation: s.incarnation, Seq: s.seqs[k], Body: slices.Clone(body)}
-	s.put(&held{Fact: f, at: now})
-	s.trace(Use{Fact: f, Told: true})
-}
+func (s *Store) Tell(kind Kind, subject string, body []byte) { s.TellAged(kind, subject, body, 0) }
 
 // Hear takes a message that came now. What is in it of this process's own name is its own echo, or another process's
 // with the same name, and is passed over.
