--- /dev/null
+++ b/internal/lab/inject/inject_test.go
@@ -0,0 +1,44 @@
+package inject
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// A program that is built here fails as planned, and as long as planned.
+func TestPlannedFailure(t *testing.T) {
+	dir := t.TempDir()
+	program, err := Build(t.Context(), "../../..", "./cmd/vetchhaven", dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(config, []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	control := &Control{Path: filepath.Join(dir, "INJECT.json")}
+	for _, plan := range []struct {
+		failures []Failure
+		want     string
+	}{
+		{nil, "seed"},
+		{[]Failure{{Call: Open, Errno: syscall.ENOTDIR, Path: "config.json"}}, "not a directory"},
+		{[]Failure{{Call: Open, Errno: syscall.ENOTDIR, Path: "another.json"}}, "seed"},
+	} {
+		if err := control.Write(Plan{Failures: plan.failures}); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(program)
+		cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config, ControlVariable+"="+control.Path)
+		log := &bytes.Buffer{}
+		cmd.Stderr = log
+		if err := cmd.Run(); err == nil || !strings.Contains(log.String(), plan.want) {
+			t.Errorf("%v: %v, log %q", plan.failures, err, log)
+		}
+	}
+}
--- a/internal/lab/lists.go
+++ b/internal/lab/lists.go
@@ -8,13 +8,12 @@
 // lists is the list service's capacity, where lists are asked for: calls wait in turn, and fail when they would wait too
 // long. What an open watch is told costs nothing. The lab's lock guards it.
 type lists struct {
-	free     time.Duration // the queue is empty then
-	seconds  []int         // calls by second
-	calls    int
-	refused  int
-	bytes    int
-	longest  time.Duration // that a call waited
-	answered time.Duration // when the first call since the last fault of the service was; negative: none
+	free    time.Duration // the queue is empty then
+	seconds []int         // calls by second
+	calls   int
+	refused int
+	bytes   int
+	longest time.Duration // that a call waited
 }
 
 // Lists is what the list service saw, where it is asked.
