Show that a failing accept, or any failure at the start, ends the agent

Cause, read in the code: limitListener.Accept hands every error to net/http's Serve, which returns on each that does not call itself temporary; listenTCP, newPeers, Platform's Read and inheritedListener give up at the first error but EADDRINUSE.

Seen, real processes with injected errnos: after the first accept4 with ENOBUFS the process is gone (connection reset); a configuration whose open fails with ENFILE is never read.

--- /dev/null
+++ b/cmd/vetchhaven/accept_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"brookferry/internal/lab/inject"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// errnosOfAccept are those that accept(2) names for a moment, network errors of a connection among them.
+var errnosOfAccept = []syscall.Errno{syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+	syscall.EPERM, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENONET, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP}
+
+// Clients and operators are served on through accepts that fail, once, three times in a row, or for 2 s, and where a connection
+// can't be watched.
+func TestAcceptThatFails(t *testing.T) {
+	backend := newStandIn(t)
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	for _, errno := range errnosOfAccept {
+		for _, times := range []int{1, 3} {
+			d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: inject.Accept, Errno: errno, Times: times}}})
+			if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+				t.Fatalf("%d x %v: %d, %v", times, errno, status, err)
+			}
+			if status, _ := d.call(t, "/_ready", ""); status != 200 {
+				t.Fatalf("operator's call after %d x %v: %d", times, errno, status)
+			}
+		}
+	}
+	for _, errno := range []syscall.Errno{syscall.ENOMEM, syscall.ENOSPC} {
+		for _, times := range []int{1, 3} {
+			d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: inject.EpollAdd, Errno: errno, Times: times}}})
+			// A client whose connection is closed unread sends the request once more.
+			await(t, fmt.Sprintf("an answer after %d x epoll_ctl %v", times, errno), patience, func() bool {
+				status, _ := request(alone, d.addr, "/get/x")
+				return status == 200
+			})
+		}
+	}
+	d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: inject.Accept, Errno: syscall.ENOBUFS}}})
+	answered := make(chan error, 1)
+	go func() {
+		status, err := request(alone, d.addr, "/get/x")
+		if status != 200 {
+			err = fmt.Errorf("status %d: %w", status, err)
+		}
+		answered <- err
+	}()
+	time.Sleep(2 * time.Second)
+	d.apply(t, inject.Plan{})
+	if err := <-answered; err != nil {
+		t.Errorf("a request through 2 s of failing accepts: %v", err)
+	}
+	d.signal(t, syscall.SIGTERM)
+	if err := d.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A program whose system calls fail for a moment at its start serves all the same.
+func TestStartThroughFailures(t *testing.T) {
+	backend := newStandIn(t)
+	discovery := newCatalog(t, ready("s", backend))
+	for _, failure := range []inject.Failure{
+		{Call: inject.Open, Path: "config.json", Errno: syscall.ENFILE, Times: 3},
+		{Call: inject.Read, Path: "config.json", Errno: syscall.EIO, Times: 1},
+		{Call: inject.Socket, Errno: syscall.ENOBUFS, Times: 3},
+		{Call: inject.Socket, Errno: syscall.ENFILE, Times: 1},
+		{Call: inject.Bind, Errno: syscall.EADDRNOTAVAIL, Times: 3},
+		{Call: inject.Connect, Errno: syscall.ENETUNREACH, Times: 3},
+	} {
+		d := deploy(t, discovery.addr, inject.Plan{Failures: []inject.Failure{failure}}, nil, "")
+		awaitAnswer(t, d, 10*time.Second)
+	}
+}
+
+// awaitAnswer waits until a request is served.
+func awaitAnswer(t *testing.T, d *deployed, within time.Duration) {
+	t.Helper()
+	await(t, "an answer", within, func() bool {
+		status, _ := request(alone, d.addr, "/get/x")
+		return status == 200
+	})
+}
--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -29,7 +29,11 @@
 		}
 		os.Exit(0)
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if dir := faultyDir.Load(); dir != nil {
+		_ = os.RemoveAll(*dir) // a temporary folder: what is left does no harm
+	}
+	os.Exit(code)
 }
 
 func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
