Bear system calls that fail for a moment at accepts and at the start

Cause: limitListener.Accept (sockets.go) returned every error, and net/http's Serve ends on each that does not call itself temporary; listenTCP and newPeers ended the start at the first error but EADDRINUSE, inheritedListener and the configuration's first read at any.

Change: what opens and bounds the listeners is a package of its own, internal/agent/listening. Accept fails once the listener is closed and not before: after an error it tries again, 1 ms later and up to 50 ms apart, for clients and operators alike, and a stop takes connections for waiting in the kernel meanwhile. The start tries again for 8 s what may pass. Reads of peers that fail wait 1 ms.

The limit's, the descriptor's and the address's tests moved with the code, unchanged but for names.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"brookferry/internal/agent/listening"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,12 +40,13 @@
 
 func newAdmin(ctx context.Context, cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
 	a := &admin{log: log, loop: l, front: f, waiting: newWaitingConns(), within: callWithin}
-	ln, err := listenTCP(ctx, cfg.Mgmt, nil)
+	ln, err := listening.TCP(ctx, cfg.Mgmt)
 	if err != nil {
 		return nil, fmt.Errorf("mgmt: %w", err)
 	}
-	limited := newLimitListener(ln, doorSockets)
-	limited.full = a.waiting.makeRoom // who calls and says nothing must not keep out those who would
+	limited := listening.Limit(ln, doorSockets)
+	limited.Failed = func(err error) { log.Warn("accepting operators' calls fails", "error", err) }
+	limited.Full = a.waiting.makeRoom // who calls and says nothing must not keep out those who would
 	a.listener = limited
 	a.server = &http.Server{
 		Handler:        a,
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"brookferry/internal/agent/listening"
 	"bufio"
 	"context"
 	"fmt"
@@ -268,12 +269,11 @@
 		t.Fatal(err)
 	}
 	defer near.Close()
-	far, err := ln.Accept()
+	c, err := listening.Limit(ln.(*net.TCPListener), 1).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
-	c := &limitedConn{TCPConn: far.(*net.TCPConn), release: func() {}}
+	defer c.Close()
 	if unread(c) {
 		t.Error("bytes seen where none are")
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,16 +10,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"brookferry"
 	"brookferry/internal/agent/discovery"
+	"brookferry/internal/agent/listening"
 	"brookferry/internal/fleet/source"
 )
 
@@ -34,7 +33,7 @@
 	admin     *admin    // nil: operators have no door
 	handover  *handover // nil: this process has no successor
 	together  Together  // nil: it has no fleet
-	listener  *limitListener
+	listener  *listening.Limited
 	closed    bool                    // the listener; stop's
 	stopIn    time.Duration           // after a SIGTERM the last answers are out
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
@@ -65,7 +64,7 @@
 		Post: func(u discovery.Update) { a.loop.post(u) }})
 	a.loop.watch = a.discovery.Subscribe
 	if cfg.Settings.Peers {
-		if a.loop.peers, err = newPeers(cfg, log); err != nil {
+		if a.loop.peers, err = newPeers(ctx, cfg, log); err != nil {
 			return nil, err
 		}
 	}
@@ -80,8 +79,8 @@
 	if err != nil {
 		return nil, err
 	}
-	a.listener = newLimitListener(ln, acceptSockets(cfg.shareable()))
-	a.listener.full = a.front.makeRoom
+	a.listener = listening.Limit(ln, acceptSockets(cfg.shareable()))
+	a.listener.Full, a.listener.Failed = a.front.makeRoom, func(err error) { log.Warn("accepting clients fails", "error", err) }
 	if cfg.ListenFD > 0 {
 		a.prepareHandover()
 	}
@@ -91,47 +90,15 @@
 // listen returns where clients connect.
 func (a *Agent) listen(ctx context.Context) (*net.TCPListener, error) {
 	if a.cfg.ListenFD > 0 {
-		return inheritedListener(a.cfg.ListenFD)
+		return listening.Inherited(ctx, a.cfg.ListenFD)
 	}
-	ln, err := listenTCP(ctx, a.cfg.Listen, nil)
+	ln, err := listening.TCP(ctx, a.cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return ln, nil
 }
 
-const (
-	freeWithin = 8 * time.Second // a restarted process is to be ready within 10 s
-	freeEvery  = 20 * time.Millisecond
-)
-
-// listenTCP listens at an address. The process before this one may still drain there: it is waited for, with a try each
-// time that again tells; nil: every freeEvery.
-func listenTCP(ctx context.Context, text string, again <-chan time.Time) (*net.TCPListener, error) {
-	addr, err := net.ResolveTCPAddr("tcp", text)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, freeWithin)
-	defer cancel()
-	if again == nil {
-		tick := time.NewTicker(freeEvery)
-		defer tick.Stop()
-		again = tick.C
-	}
-	for {
-		ln, err := net.ListenTCP("tcp", addr)
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return ln, err
-		}
-		select {
-		case <-again:
-		case <-ctx.Done():
-			return nil, err
-		}
-	}
-}
-
 // Addr is where clients connect.
 func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
 
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -124,7 +124,7 @@
 	}
 	defer other.Close()
 	cfg.Peers = []string{"127.0.0.1:9", other.LocalAddr().String()}
-	p, err := newPeers(cfg, quiet)
+	p, err := newPeers(t.Context(), cfg, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -8,7 +8,6 @@
 	"io/fs"
 	"log/slog"
 	"maps"
-	"net"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -303,29 +302,6 @@
 	return list
 }
 
-// inheritedListener is the listening socket that the platform holds and every process inherits.
-func inheritedListener(fd int) (*net.TCPListener, error) {
-	file := os.NewFile(uintptr(fd), "PROXY_FD")
-	if file == nil {
-		return nil, fmt.Errorf("PROXY_FD: %d is no file descriptor", fd)
-	}
-	defer file.Close() // the listener has its own
-	listening, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
-	if err != nil {
-		return nil, fmt.Errorf("PROXY_FD: descriptor %d: %w", fd, err)
-	}
-	ln, err := net.FileListener(file)
-	if err != nil {
-		return nil, fmt.Errorf("PROXY_FD: descriptor %d: %w", fd, err)
-	}
-	tcp, ok := ln.(*net.TCPListener)
-	if !ok || listening == 0 {
-		ln.Close()
-		return nil, fmt.Errorf("PROXY_FD: descriptor %d is no listening TCP socket", fd)
-	}
-	return tcp, nil
-}
-
 // prepareHandover finds out whether an older process of this agent is there. While it is, the two
 // share out what one may use. Where nothing can be written this process serves like one that is alone.
 func (a *Agent) prepareHandover() {
@@ -341,7 +317,7 @@
 	a.discovery.Record = a.handover.saveList
 	a.loop.handOn = a.handover.offer
 	if !a.handover.alone {
-		a.listener.reserve(a.halfOfAccepts())
+		a.listener.Reserve(a.halfOfAccepts())
 		a.allow(a.cfg.halved())
 	}
 }
@@ -423,7 +399,7 @@
 		switch {
 		case halved && !followed && a.handover.first():
 			halved = false
-			a.listener.reserve(-a.halfOfAccepts())
+			a.listener.Reserve(-a.halfOfAccepts())
 			a.allow(a.cfg)
 			a.log.Info("the older process has ended")
 		case !followed && a.handover.followed():
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -43,46 +42,6 @@
 	return cfg
 }
 
-// The inherited descriptor is the clients' listener, or the program does not start.
-func TestInheritedListener(t *testing.T) {
-	ln := listen(t)
-	got, err := inheritedListener(descriptor(t, ln.(*net.TCPListener)))
-	if err != nil || got.Addr().String() != ln.Addr().String() {
-		t.Fatalf("%v, %v", got, err)
-	}
-	got.Close()
-	if c, err := net.Dial("tcp", ln.Addr().String()); err != nil {
-		t.Errorf("the platform's socket went with the process's: %v", err)
-	} else {
-		c.Close()
-	}
-	c, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer udp.Close()
-	file, err := os.Create(filepath.Join(t.TempDir(), "f"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	fd, err := dup(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for name, fd := range map[string]int{"a connection": descriptor(t, c.(*net.TCPConn)),
-		"UDP": descriptor(t, udp.(*net.UDPConn)), "a file": fd, "nothing": 1 << 20} {
-		if _, err := inheritedListener(fd); err == nil || !strings.Contains(err.Error(), "PROXY_FD") {
-			t.Errorf("%s: %v", name, err)
-		}
-	}
-}
-
 // What an earlier process left is gone on from; what can't be used is worked around.
 func TestRecordsThatCannotBeUsed(t *testing.T) {
 	now := time.Now().UnixMilli()
@@ -261,11 +220,13 @@
 		t.Fatal(err)
 	}
 	cfg.PeerListen = held.LocalAddr().String()
-	if _, err := newPeers(cfg, quiet); err == nil {
+	over, cancel := context.WithCancel(t.Context())
+	cancel() // nobody waits for the address
+	if _, err := newPeers(over, cfg, quiet); err == nil {
 		t.Error("with no handover a held address is no error")
 	}
 	cfg.ListenFD = 4
-	p, err := newPeers(cfg, quiet)
+	p, err := newPeers(t.Context(), cfg, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/agent/listening/listening_test.go
@@ -0,0 +1,176 @@
+package listening
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience is how long a test waits for what must come: far more than it takes anywhere.
+const patience = 30 * time.Second
+
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.(*net.TCPListener)
+}
+
+func receive[T any](t *testing.T, what string, from <-chan T) (x T) {
+	t.Helper()
+	select {
+	case x = <-from:
+	case <-time.After(patience):
+		t.Fatalf("%s: nothing came", what)
+	}
+	return x
+}
+
+// The listener takes no connection past its limit until another is closed.
+func TestLimitListener(t *testing.T) {
+	l := Limit(listen(t), 1)
+	asked := make(chan struct{}, 1)
+	l.Full = func() {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+	}
+	got := make(chan net.Conn, 2)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			got <- c
+		}
+	}()
+	for range 2 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	one := receive(t, "first connection", got)
+	receive(t, "call for room", asked)
+	if l.InUse() != 1 || len(got) != 0 {
+		t.Errorf("%d connections past the limit", len(got))
+	}
+	one.Close()
+	one.Close() // gives back its slot only once
+	receive(t, "second connection", got)
+	l.Close()
+	if err := receive(t, "end", ended); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("%v", err)
+	}
+}
+
+// The address may still be another process's: a restarted one waits for it, and ends when it is told to.
+func TestAddressOfTheProcessBefore(t *testing.T) {
+	old := listen(t)
+	type listened struct {
+		ln  *net.TCPListener
+		err error
+	}
+	done, again := make(chan listened, 1), make(chan time.Time)
+	go func() { ln, err := tcp(t.Context(), old.Addr().String(), again); done <- listened{ln, err} }()
+	again <- time.Now() // the first try has failed
+	again <- time.Now() // the second
+	old.Close()
+	var l listened
+	select {
+	case again <- time.Now():
+		l = receive(t, "listener", done)
+	case l = <-done: // the second try came after the close
+	}
+	if l.err != nil {
+		t.Fatal(l.err)
+	}
+	defer l.ln.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := tcp(ctx, l.ln.Addr().String(), again); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("an address that is never free: %v", err)
+	}
+}
+
+// descriptor is a further descriptor of a socket, as a process inherits it.
+func descriptor(t *testing.T, socket interface{ File() (*os.File, error) }) int {
+	t.Helper()
+	f, err := socket.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	keep, err := dup(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keep
+}
+
+// dup returns a descriptor that is nobody's yet, and closes f.
+func dup(f *os.File) (int, error) {
+	defer f.Close()
+	fd, err := syscall.Dup(int(f.Fd()))
+	if err == nil {
+		syscall.CloseOnExec(fd)
+	}
+	return fd, err
+}
+
+// The inherited descriptor is the clients' listener, or the program does not start.
+func TestInheritedListener(t *testing.T) {
+	ln := listen(t)
+	got, err := Inherited(t.Context(), descriptor(t, ln))
+	if err != nil || got.Addr().String() != ln.Addr().String() {
+		t.Fatalf("%v, %v", got, err)
+	}
+	got.Close()
+	if c, err := net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Errorf("the platform's socket went with the process's: %v", err)
+	} else {
+		c.Close()
+	}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer udp.Close()
+	file, err := os.Create(filepath.Join(t.TempDir(), "f"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	fd, err := dup(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, fd := range map[string]int{"a connection": descriptor(t, c.(*net.TCPConn)),
+		"UDP": descriptor(t, udp.(*net.UDPConn)), "a file": fd, "nothing": 1 << 20} {
+		if _, err := Inherited(t.Context(), fd); err == nil || !strings.Contains(err.Error(), "PROXY_FD") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -1,13 +1,12 @@
 package agent
 
 import (
+	"brookferry/internal/agent/listening"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"brookferry"
@@ -17,7 +16,7 @@
 
 // peers exchanges datagrams with the other agents of the tier.
 type peers struct {
-	conn    *net.UDPConn // nil while an older process of this agent holds the address
+	conn    *net.UDPConn // nil while the address can't be had
 	local   *net.UDPAddr
 	addrs   []netip.AddrPort
 	numbers map[netip.AddrPort]int
@@ -33,7 +32,10 @@
 // bindEvery is how often, while an older process holds the address.
 const bindEvery = 50 * time.Millisecond
 
-func newPeers(cfg *Config, log *slog.Logger) (*peers, error) {
+// hearAgain is how long nothing is read after a read that failed.
+const hearAgain = time.Millisecond
+
+func newPeers(ctx context.Context, cfg *Config, log *slog.Logger) (*peers, error) {
 	p := &peers{numbers: map[netip.AddrPort]int{}, out: make(chan datagram, 64), log: log}
 	for i, text := range cfg.Peers {
 		addr, err := netip.ParseAddrPort(text)
@@ -44,10 +46,13 @@
 		p.numbers[addr] = i
 	}
 	var err error
-	if p.local, err = net.ResolveUDPAddr("udp", cfg.PeerListen); err == nil {
-		p.conn, err = net.ListenUDP("udp", p.local)
+	if p.local, err = net.ResolveUDPAddr("udp", cfg.PeerListen); err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	if err != nil && !(cfg.ListenFD > 0 && errors.Is(err, syscall.EADDRINUSE)) {
+	if cfg.ListenFD > 0 { // an older process may hold it: bind waits, and clients are served meanwhile
+		return p, nil
+	}
+	if p.conn, err = listening.Retry(ctx, nil, func() (*net.UDPConn, error) { return net.ListenUDP("udp", p.local) }); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return p, nil
@@ -58,14 +63,17 @@
 	tick := time.NewTicker(bindEvery)
 	defer tick.Stop()
 	for p.conn == nil {
-		select {
-		case <-ctx.Done():
+		if ctx.Err() != nil {
 			return false
-		case <-tick.C:
 		}
 		if c, err := net.ListenUDP("udp", p.local); err == nil {
 			p.conn = c
 			p.log.Info("peers are heard")
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
 		}
 	}
 	return true
@@ -108,8 +116,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			continue // an earlier datagram's ICMP error; the socket itself is fine
+		if err != nil { // an earlier datagram's ICMP error, or a shortage: the socket itself is fine
+			select {
+			case <-time.After(hearAgain):
+			case <-ctx.Done():
+			}
+			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		if number, known := p.numbers[from]; known && n <= maxDatagram {
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -39,7 +38,7 @@
 	if err := receive(t, "end of the agent", s.done); err != nil {
 		t.Error(err)
 	}
-	if n := len(s.listener.slots); n != 0 || s.front.conns != 0 || s.front.open.Load() != 0 {
+	if n := s.listener.InUse(); n != 0 || s.front.conns != 0 || s.front.open.Load() != 0 {
 		t.Errorf("left: %d slots, %d connections, %d requests", n, s.front.conns, s.front.open.Load())
 	}
 	waitFor(t, "the end of the connections to backends", func() bool {
@@ -122,11 +121,11 @@
 		}
 		return ok200
 	})
-	a.listener.reserve(cap(a.listener.slots) - 1)
+	a.listener.Reserve(a.listener.Size() - 1)
 	first := a.dial(t)
 	write(t, first, get("/get/x", ""))
 	receive(t, "first request", s.seen)
-	waitFor(t, "the wait for a descriptor", a.listener.waits.Load)
+	waitFor(t, "the wait for a descriptor", a.listener.Waiting)
 	queued := a.dial(t)
 	write(t, queued, get("/get/x", ""))
 	a.stopNow(t)
@@ -136,7 +135,7 @@
 	close(hold)
 	served(t, first)
 	served(t, queued)
-	a.listener.reserve(1 - cap(a.listener.slots))
+	a.listener.Reserve(1 - a.listener.Size())
 	a.ended(t)
 }
 
@@ -217,35 +216,6 @@
 	r.ended(t)
 }
 
-// The address may still be another process's: a restarted one waits for it, and ends when it is told to.
-func TestAddressOfTheProcessBefore(t *testing.T) {
-	old := listen(t)
-	type listened struct {
-		ln  *net.TCPListener
-		err error
-	}
-	done, again := make(chan listened, 1), make(chan time.Time)
-	go func() { ln, err := listenTCP(t.Context(), old.Addr().String(), again); done <- listened{ln, err} }()
-	again <- time.Now() // the first try has failed
-	again <- time.Now() // the second
-	old.Close()
-	var l listened
-	select {
-	case again <- time.Now():
-		l = receive(t, "listener", done)
-	case l = <-done: // the second try came after the close
-	}
-	if l.err != nil {
-		t.Fatal(l.err)
-	}
-	defer l.ln.Close()
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if _, err := listenTCP(ctx, l.ln.Addr().String(), again); !errors.Is(err, syscall.EADDRINUSE) {
-		t.Errorf("an address that is never free: %v", err)
-	}
-}
-
 // An operators' call that was taken when the agent stops has its answer.
 func TestStopDuringAnOperatorsCall(t *testing.T) {
 	a, err := New(t.Context(), withDoor(t, setup{servers: []member{{ID: "s", Addr: deadAddr(t), State: "ready"}}}), quiet)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"brookferry/internal/agent/listening"
 	"context"
 	"log/slog"
 	"math"
@@ -19,7 +20,7 @@
 	signal.Notify(replaced, syscall.SIGHUP)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	cfg, err := source.Load()
+	cfg, err := listening.Retry(stop, nil, source.Load)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -41,7 +41,7 @@
 			f.closeIdle(0, silent)
 		}
 		over := time.Now().After(end)
-		if accepted && (over || !a.listener.waits.Load()) {
+		if accepted && (over || !a.listener.Waiting()) {
 			a.shut(served)
 		}
 		if open := f.open.Load(); over && !late && open > 0 {
