Read a replaced configuration again until it can be read

Cause: reload (internal/agent/serve.go) gave a signal up at the first error.

Change: a read that fails is made again after 20 ms, then up to 250 ms apart, until it succeeds, a further signal begins anew, or the program ends; the first failure of a signal is logged.

Seen: TestReloadThatFails passes in its eight forms (ENFILE, EMFILE, EINTR, EIO, three in a row, for 2 s, half written, two signals), and the package's others.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Serve runs the agent that a source describes until SIGTERM.
@@ -42,20 +43,34 @@
 	return a.Run(stop)
 }
 
-// reload takes over a replaced configuration at each SIGHUP: of what is in it, discovery's address
-// alone may change while the program runs. One that can't be read changes nothing.
+// Waits after a replaced configuration could not be read, doubled from the first to the most: discovery's new address counts
+// 4 s after the signal.
+const reloadFirst, reloadMost = 20 * time.Millisecond, 250 * time.Millisecond
+
+// reload takes over a replaced configuration at each SIGHUP: of what is in it, discovery's address alone may change while the
+// program runs. One that can't be read changes nothing, and is read again until it can be: it may still be being written, or
+// the system be short of something for a moment.
 func reload(a *Agent, log *slog.Logger, source Source, replaced <-chan os.Signal, done <-chan struct{}) {
+	var again <-chan time.Time // nil: the latest signal has been heeded
+	wait := reloadFirst
 	for {
 		select {
 		case <-replaced:
+			wait = reloadFirst
+		case <-again:
 		case <-done:
 			return
 		}
+		again = nil
 		discovery, err := source.Discovery()
-		if err != nil {
-			log.Error("the replaced configuration is not used", "error", err)
+		if err == nil {
+			a.Follow(discovery)
 			continue
 		}
-		a.Follow(discovery)
+		if wait == reloadFirst {
+			log.Error("the replaced configuration is not used, it will be read again", "error", err)
+		}
+		again = time.After(wait)
+		wait = min(2*wait, reloadMost)
 	}
 }
