Show that a folder that fails for a moment loses operators' calls over an upgrade

Cause, read in the code: prepareHandover gives recording up for good when newHandover fails; admin.keep says yes to what could not be recorded, and handover.keep never tries again; handover.read takes a read that failed for an empty record, which change then writes over the one that names the detached backends; look takes a file for seen whose read failed.

Seen, real processes: in 14 of 15 forms (first write, open or lock fails once or three times; writes, opens, locks for 3 s; the successor's reads, writes, renames, owner) 30 of 30 requests reach the detached backend after the upgrade, or the successor is never ready.

--- /dev/null
+++ b/cmd/vetchhaven/folder_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"brookferry/internal/lab/inject"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// awaitCall waits until a call is answered with yes.
+func (d *deployed) awaitCall(t *testing.T, within time.Duration, path, body string) {
+	t.Helper()
+	status, end := 0, time.Now().Add(within)
+	for status != 200 {
+		if time.Now().After(end) {
+			t.Fatalf("%s: %d after %v", path, status, within)
+		}
+		if status, _ = d.call(t, path, body); status != 200 {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// replaced is an agent whose first process runs, with two backends.
+type replaced struct {
+	one, two  *standIn
+	discovery *catalog
+	ln        *net.TCPListener
+	dir       string
+	older     *deployed
+}
+
+func newReplaced(t *testing.T, plan inject.Plan) *replaced {
+	t.Helper()
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	r := &replaced{one: newStandIn(t), two: newStandIn(t), ln: ln, dir: t.TempDir()}
+	r.discovery = newCatalog(t, ready("one", r.one), ready("two", r.two))
+	r.older = deploy(t, r.discovery.addr, plan, ln, r.dir)
+	r.older.awaitCall(t, 6*time.Second, "/_ready", "")
+	return r
+}
+
+// upgrade replaces the process as the platform does, and reports how many of 30 requests reach backend one afterwards.
+func (r *replaced) upgrade(t *testing.T, plan inject.Plan) (reached int64) {
+	t.Helper()
+	younger := deploy(t, r.discovery.addr, plan, r.ln, r.dir)
+	younger.awaitCall(t, 6*time.Second, "/_ready", "")
+	was := r.one.seen.Load()
+	r.older.signal(t, syscall.SIGTERM)
+	if err := r.older.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	for range 30 {
+		if status, err := request(alone, younger.addr, "/get/x"); status != 200 {
+			t.Errorf("%d, %v", status, err)
+		}
+	}
+	r.older = younger
+	return r.one.seen.Load() - was
+}
+
+const detachOne = `{"target":"one"}`
+
+// What operators have been told yes to holds over an upgrade, whatever the folder did before.
+func TestDetachOverAFailingFolder(t *testing.T) {
+	at := func(call, path string, errno syscall.Errno, times int) inject.Plan {
+		return inject.Plan{Failures: []inject.Failure{{Call: call, Path: path, Errno: errno, Times: times}}}
+	}
+	for name, c := range map[string]struct {
+		start, during, younger inject.Plan
+	}{
+		"first write fails once":             {start: at(inject.Write, "handover.json", syscall.EIO, 1)},
+		"first write fails thrice":           {start: at(inject.Write, "handover.json", syscall.ENOSPC, 3)},
+		"first open of the lock fails":       {start: at(inject.Open, "owner", syscall.ENFILE, 1)},
+		"first lock fails":                   {start: at(inject.Lock, "owner", syscall.ENOLCK, 2)},
+		"rename fails once":                  {during: at(inject.Rename, "handover.json", syscall.EIO, 1)},
+		"writes fail for 3 s":                {during: at(inject.Write, "handover.json", syscall.EIO, 0)},
+		"opens fail for 3 s":                 {during: at(inject.Open, "handover.json", syscall.ENOSPC, 0)},
+		"locks fail for 3 s":                 {during: at(inject.Lock, "lock", syscall.ENOLCK, 0)},
+		"the successor's first read":         {younger: at(inject.Read, "handover.json", syscall.EIO, 1)},
+		"the successor's first three":        {younger: at(inject.Open, "handover.json", syscall.ENFILE, 3)},
+		"the successor's reads for long":     {younger: at(inject.Read, "handover.json", syscall.EIO, 40)},
+		"the successor's first write":        {younger: at(inject.Write, "handover.json", syscall.ENOSPC, 1)},
+		"the successor's owner":              {younger: at(inject.Open, "owner", syscall.EIO, 2)},
+		"the successor's writes throughout":  {younger: at(inject.Write, "handover.json", syscall.ENOSPC, 0)},
+		"the successor's renames throughout": {younger: at(inject.Rename, "handover.json", syscall.EIO, 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newReplaced(t, c.start)
+			r.older.apply(t, c.during)
+			status, took := r.older.call(t, "/_backends/detach", detachOne)
+			if took > time.Second {
+				t.Errorf("answered after %v", took)
+			}
+			if c.during.Failures == nil && status != 200 {
+				t.Errorf("status %d", status)
+			}
+			if c.during.Failures != nil && c.during.Failures[0].Times == 0 {
+				time.Sleep(3*time.Second - took)
+				r.older.apply(t, inject.Plan{})
+				time.Sleep(2 * time.Second)
+				if status != 200 { // a no: the operator calls again
+					r.older.awaitCall(t, time.Second, "/_backends/detach", detachOne)
+				}
+			}
+			if n := r.upgrade(t, c.younger); n > 0 {
+				t.Errorf("%d of 30 requests reach the detached backend", n)
+			}
+		})
+	}
+}
+
+// A call that can't be recorded as long as it may take is answered with no.
+func TestNoYesThatCannotBeKept(t *testing.T) {
+	r := newReplaced(t, inject.Plan{})
+	fails := inject.Plan{Failures: []inject.Failure{{Call: inject.Write, Path: "handover.json", Errno: syscall.EIO}}}
+	r.older.apply(t, fails)
+	for _, path := range []string{"/_backends/detach", "/_lameduck/on", "/_lameduck/off"} {
+		if status, took := r.older.call(t, path, detachOne); status != 503 || took > time.Second {
+			t.Errorf("%s: %d after %v", path, status, took)
+		}
+	}
+}
