Keep what operators called over an upgrade through a folder that fails

Cause: newHandover's first error ended recording for good; a call that could not be recorded was a yes and was never recorded again; read() gave back an empty record where reading failed, and change wrote it over the one with the detached backends; look took a file for seen whose read had failed; flock's own errors passed for another process's lock; times stood by the wall clock.

Change: internal/agent/handover is a package (Record, Store) that gives nothing up: calls that could not be written go in with the next write, in the order of their times; what can't be read is read again and not written over; a process takes its place later if it must, and keeps to half of the limits until it knows.

TestNowhereToHandOn said yes where nothing can be recorded, against the clause: it now wants the no, and that the backend is left all the same. The record's tests moved with it.

--- a/api.go
+++ b/api.go
@@ -189,8 +189,8 @@
 	}
 	// Emptying says that operators send this agent's clients elsewhere, or let them come again.
 	Emptying struct{ On bool }
-	// Inherit comes first to a process that goes on where another of the same agent was.
-	Inherit struct{ Legacy }
+	// Restore comes first to a process that goes on where another of the same agent was.
+	Restore struct{ Snapshot }
 	// TimerFired says that a SetTimer has come due.
 	TimerFired struct{ Token int64 }
 	// PeerMessage carries bytes from another agent.
@@ -288,7 +288,7 @@
 func (Detach) event()        {}
 func (Attach) event()        {}
 func (Emptying) event()      {}
-func (Inherit) event()       {}
+func (Restore) event()       {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
 func (Part) event()          {}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"brookferry/internal/agent/handover"
 	"brookferry/internal/agent/listening"
+	"brookferry/internal/systime"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,8 +23,8 @@
 	listener net.Listener
 	server   *http.Server
 	waiting  waitingConns
-	record   func(standing) error // where a successor finds it; may be nil
-	within   time.Duration        // an answer is given
+	record   func(context.Context, handover.Call) error // where a successor finds it; may be nil
+	within   time.Duration                              // an answer is given
 }
 
 const (
@@ -31,13 +33,6 @@
 	maxCall     = 4 << 10                // bytes of a call's body
 )
 
-// standing is a word of the operators that holds until they take it back.
-type standing struct {
-	backend string // "": of the agent itself
-	out     bool   // detached, or drained
-	at      time.Time
-}
-
 func newAdmin(ctx context.Context, cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
 	a := &admin{log: log, loop: l, front: f, waiting: newWaitingConns(), within: callWithin}
 	ln, err := listening.TCP(ctx, cfg.Mgmt)
@@ -125,9 +120,13 @@
 		}
 	case "/_lameduck/on", "/_lameduck/off":
 		on := hr.URL.Path == "/_lameduck/on"
-		a.keep(standing{out: on})
+		ctx, cancel := context.WithTimeout(hr.Context(), a.within)
+		defer cancel()
+		recorded := a.keep(ctx, handover.Call{Out: on}) // first: what the record lacks is taken back here
 		a.front.setLame(on)
 		a.log.Info("lame duck", "on", on)
+		a.answer(w, recorded)
+		return
 	default:
 		a.move(w, hr.Context(), body, hr.URL.Path == "/_backends/detach")
 		return
@@ -158,19 +157,30 @@
 		a.log.Info("a call for a backend that nobody has", "backend", *told.Target, "detach", detach)
 		http.Error(w, "no backend has this id", http.StatusNotFound)
 	default:
-		a.keep(standing{backend: *told.Target, out: detach})
 		a.log.Info("backend called", "backend", *told.Target, "detached", detach)
-		a.yes(w)
+		a.answer(w, a.keep(ctx, handover.Call{Backend: *told.Target, Out: detach}))
 	}
 }
 
-// keep records a call for a successor. One that can't be recorded still holds here.
-func (a *admin) keep(s standing) {
+// keep records a call that holds here for a successor, and reports whether it could by ctx's end.
+func (a *admin) keep(ctx context.Context, c handover.Call) bool {
 	if a.record == nil {
-		return
+		return true
 	}
-	s.at = time.Now()
-	if err := a.record(s); err != nil {
-		a.log.Error("a call is not recorded for a successor", "backend", s.backend, "out", s.out, "error", err)
+	c.At = systime.SinceBoot()
+	err := a.record(ctx, c)
+	if err != nil {
+		a.log.Error("a call is not recorded for a successor yet", "backend", c.Backend, "out", c.Out, "error", err)
+	}
+	return err == nil
+}
+
+// answer says yes to a call that holds over an upgrade, and no to one that could not be recorded in time. That one goes on to
+// hold here, and is recorded as soon as it can be.
+func (a *admin) answer(w http.ResponseWriter, recorded bool) {
+	if recorded {
+		a.yes(w)
+		return
 	}
+	http.Error(w, "the call holds in this process, but can't be recorded for the next one: call again", http.StatusServiceUnavailable)
 }
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -147,15 +147,15 @@
 	if r, _, _ := attemptAt(t, b, context.Background(), "one"); r != brookferry.OK {
 		t.Fatal(r)
 	}
-	b.withhold("s", true)
+	b.detach("s", true)
 	if b.open != 0 {
 		t.Errorf("%d connections to the detached backend are kept", b.open)
 	}
-	b.withhold("s", false)
+	b.detach("s", false)
 	dial := b.transport.DialContext
 	b.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
-		b.withhold("s", true)
+		b.detach("s", true)
 		return c, err
 	}
 	if r, _, _ := attemptAt(t, b, context.Background(), "two"); r != brookferry.ConnectFailed || b.open != 0 {
@@ -164,7 +164,7 @@
 	if r, _, _ := attemptAt(t, b, context.Background(), "three"); r != brookferry.ConnectFailed || len(s.seen) != 1 {
 		t.Errorf("result %v, %d requests reached the backend", r, len(s.seen))
 	}
-	b.withhold("s", false)
+	b.detach("s", false)
 	b.transport.DialContext = dial
 	if r, _, _ := attemptAt(t, b, context.Background(), "four"); r != brookferry.OK {
 		t.Errorf("after the call back: %v", r)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,8 +4,8 @@
 //
 // The loop (loop.go) owns the module; the front (front.go) serves clients, on connections that clientconn.go reads,
 // backends.go makes attempts, stream.go passes large bodies and answers through, discovery follows the list, peers.go
-// exchanges datagrams with other agents, admin.go takes operators' calls, and handover.go tells the
-// next process what it must know.
+// exchanges datagrams with other agents, admin.go takes operators' calls, and successor.go tells the
+// next process what it must know (handover).
 package agent
 
 import (
@@ -30,9 +30,9 @@
 	front     *front
 	backends  *backends
 	discovery *discovery.Follower
-	admin     *admin    // nil: operators have no door
-	handover  *handover // nil: this process has no successor
-	together  Together  // nil: it has no fleet
+	admin     *admin     // nil: operators have no door
+	successor *successor // nil: no process of this agent replaces another
+	together  Together   // nil: it has no fleet
 	listener  *listening.Limited
 	closed    bool                    // the listener; stop's
 	stopIn    time.Duration           // after a SIGTERM the last answers are out
@@ -82,7 +82,7 @@
 	a.listener = listening.Limit(ln, acceptSockets(cfg.shareable()))
 	a.listener.Full, a.listener.Failed = a.front.makeRoom, func(err error) { log.Warn("accepting clients fails", "error", err) }
 	if cfg.ListenFD > 0 {
-		a.prepareHandover()
+		a.prepareHandover(ctx)
 	}
 	return a, nil
 }
@@ -115,9 +115,9 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	if a.handover != nil {
-		defer a.handover.close() // a younger process is alone then
-		a.inherit()
+	if a.successor != nil {
+		defer a.successor.Close() // a younger process is alone then
+		a.inherit(stop)
 	}
 	if a.cfg.Known != nil && len(a.cfg.Known.Servers) > 0 {
 		a.loop.take(a.discovery.Known(a.cfg.Known))
@@ -139,10 +139,10 @@
 	if a.admin != nil {
 		running.Go(func() { a.admin.run(ctx) })
 	}
-	if a.admin != nil || a.handover != nil {
+	if a.admin != nil || a.successor != nil {
 		running.Go(func() { a.front.empty(ctx) })
 	}
-	if a.handover != nil {
+	if a.successor != nil {
 		running.Go(func() { a.share(ctx) })
 		a.awaitList(stop)
 	}
@@ -158,7 +158,7 @@
 		return fmt.Errorf("listen: %w", err)
 	case <-stop.Done():
 	}
-	if a.handover != nil {
+	if a.successor != nil {
 		deaf() // the peers' address is the successor's
 	}
 	a.stop(served)
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// withhold has nothing written to a backend any more, or again. Its kept connections are dropped
+// detach has nothing written to a backend any more, or again. Its kept connections are dropped
 // both times: operators restart it in between.
-func (b *backends) withhold(id string, on bool) {
+func (b *backends) detach(id string, on bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if on {
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"brookferry/internal/agent/handover"
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -14,8 +16,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"brookferry"
 )
 
 // descriptor is a further descriptor of a socket, as a process inherits it.
@@ -42,92 +42,6 @@
 	return cfg
 }
 
-// What an earlier process left is gone on from; what can't be used is worked around.
-func TestRecordsThatCannotBeUsed(t *testing.T) {
-	now := time.Now().UnixMilli()
-	for name, row := range map[string]struct {
-		text string
-		used bool
-	}{
-		"missing":      {"", false},
-		"torn":         {`{"format":1,"turn":3,"saved":`, false},
-		"no record":    {`[1,2]`, false},
-		"other format": {fmt.Sprintf(`{"format":2,"turn":3,"saved":%d,"detached":{"s":1}}`, now), false},
-		"long gone":    {fmt.Sprintf(`{"format":1,"turn":3,"saved":%d,"detached":{"s":1}}`, now-time.Hour.Milliseconds()), false},
-		"fresh":        {fmt.Sprintf(`{"format":1,"turn":3,"saved":%d,"detached":{"s":1}}`, now), true},
-	} {
-		dir := t.TempDir()
-		if row.text != "" {
-			if err := os.WriteFile(filepath.Join(dir, recordName), []byte(row.text), 0o600); err != nil {
-				t.Fatal(err)
-			}
-		}
-		h, err := newHandover(dir, quiet)
-		if err != nil {
-			t.Errorf("%s: %v", name, err)
-			continue
-		}
-		if calls, _ := h.look(newClock()); len(calls) == 1 != row.used {
-			t.Errorf("%s: %d calls are gone on from", name, len(calls))
-		}
-	}
-	if _, err := newHandover(filepath.Join(t.TempDir(), "none"), quiet); err == nil {
-		t.Error("no directory, and no error")
-	}
-}
-
-// A call to either process is known to both, in the order in which they were taken; a process's own
-// calls don't come back to it.
-func TestCallsReachBothProcesses(t *testing.T) {
-	dir, ck := t.TempDir(), newClock()
-	older, err := newHandover(dir, quiet)
-	if err != nil {
-		t.Fatal(err)
-	}
-	younger, err := newHandover(dir, quiet)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !older.alone || younger.alone {
-		t.Errorf("alone: %v and %v", older.alone, younger.alone)
-	}
-	at := time.Now()
-	keep := func(h *handover, backend string, out bool) {
-		at = at.Add(time.Second)
-		if err := h.keep(standing{backend: backend, out: out, at: at}); err != nil {
-			t.Fatal(err)
-		}
-	}
-	told := func(h *handover) (text string) {
-		calls, lame := h.look(ck)
-		for _, c := range calls {
-			text += fmt.Sprintf("%s %v ", c.backend, c.detach)
-		}
-		return text + fmt.Sprint(lame)
-	}
-	keep(older, "s", true)
-	keep(older, "s", true)
-	if got := told(younger); got != "s true false" {
-		t.Errorf("the younger hears %q", got)
-	}
-	if got := told(older); got != "false" {
-		t.Errorf("the older hears %q of its own call", got)
-	}
-	keep(younger, "", true)
-	keep(younger, "s", false)
-	older.save(brookferry.Legacy{}) // reads and writes the record in between
-	if got := told(older); got != "s false true" {
-		t.Errorf("the older hears %q", got)
-	}
-	if got := told(younger); got != "true" {
-		t.Errorf("the younger hears %q", got)
-	}
-	older.close() // as its end does
-	if !older.followed() || !younger.first() || younger.followed() {
-		t.Error("the younger does not know that it is alone")
-	}
-}
-
 // One process takes the clients over from another that serves: what the older one was told holds, no
 // request is turned back, and the older one ends.
 func TestUpgrade(t *testing.T) {
@@ -286,7 +200,8 @@
 	}
 }
 
-// An agent whose directory can't be written to serves all the same.
+// An agent whose directory can't be written to serves all the same. It heeds operators' calls and does not say yes, which
+// would have to hold over an upgrade.
 func TestNowhereToHandOn(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
 	ln := listen(t)
@@ -295,49 +210,13 @@
 	if x := a.do("GET", "/get/x", ""); x.status != 200 {
 		t.Errorf("%+v", x)
 	}
-	if resp := knock(t, a, put("/_backends/detach", `{"target":"s"}`)); resp.StatusCode != 200 {
+	a.admin.within = callWithin
+	if resp := knock(t, a, put("/_backends/detach", `{"target":"s"}`)); resp.StatusCode != 503 {
 		t.Errorf("%+v", resp)
 	}
-}
-
-// A successor that ends before it has taken the clients leaves the older process as it was: with the whole limits, and the one
-// that the record is by; and another may start.
-func TestSuccessorThatEnds(t *testing.T) {
-	dir := t.TempDir()
-	begin := func() *handover {
-		h, err := newHandover(dir, quiet)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return h
-	}
-	older := begin()
-	defer older.close()
-	for round := range 3 {
-		younger := begin()
-		if _, _ = older.look(newClock()); !older.followed() || older.deserted() {
-			t.Fatalf("round %d: the younger one is not seen", round)
-		}
-		younger.close() // killed
-		if !older.deserted() || older.followed() {
-			t.Fatalf("round %d: its end is not seen", round)
-		}
-		older.save(brookferry.Legacy{Tokens: float64(round + 1)})
-		if l := older.read().Legacy; l == nil || l.Tokens != float64(round+1) {
-			t.Fatalf("round %d: the older one no longer records: %+v", round, l)
-		}
-	}
-	younger := begin()
-	older.close()
-	if !younger.first() || younger.second != nil {
-		t.Error("the younger one is not the first now")
+	if err := a.backends.clear(&try{id: "s"}); !errors.Is(err, errDetached) {
+		t.Errorf("a backend that was called out: %v", err)
 	}
-	third := begin()
-	defer third.close()
-	if _, _ = younger.look(newClock()); !younger.followed() || younger.deserted() {
-		t.Error("a third process is not seen")
-	}
-	younger.close()
 }
 
 // The same with processes that serve: the older one's share of the limits comes back.
@@ -352,12 +231,12 @@
 		return older.backends.most
 	}
 	whole := most()
-	younger, err := newHandover(dir, quiet)
-	if err != nil {
+	younger := handover.New(dir, quiet)
+	if err := younger.Begin(); err != nil {
 		t.Fatal(err)
 	}
 	waitFor(t, "the older one to keep to half", func() bool { return most() < whole })
-	younger.close()
+	younger.Close()
 	waitFor(t, "the older one to use all", func() bool { return most() == whole })
 	if x := older.do("GET", "/get/x", ""); x.status != 200 {
 		t.Errorf("%+v", x)
@@ -386,10 +265,8 @@
 				}
 				watch.lines <- lineOf(t, members{Version: 42, Full: true, Servers: []member{two.member("two")}})
 				waitFor(t, "the list in the record", func() bool {
-					h := older.handover
-					h.mu.Lock()
-					defer h.mu.Unlock()
-					return h.known.List != nil && h.known.List.Version == 42
+					list := older.successor.Known().List
+					return list != nil && list.Version == 42
 				})
 			})
 			if w := receive(t, "watch of the younger", c.watch); !call && w.since != "42" {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -88,8 +88,8 @@
 	balancer *brookferry.Balancer
 	backends *backends
 	peers    *peers
-	watch    func()                  // asks discovery for a watch
-	handOn   func(brookferry.Legacy) // to the next process, now and then; may be nil
+	watch    func()                    // asks discovery for a watch
+	handOn   func(brookferry.Snapshot) // to the next process, now and then; may be nil
 
 	residency gate.Keeper // nil: no policy
 	resides   int         // the table that the module has heard of
@@ -181,7 +181,7 @@
 	}
 	delete(l.asked, a.Call)
 	if a.Taken {
-		l.backends.withhold(c.backend, c.detach)
+		l.backends.detach(c.backend, c.detach)
 	}
 	c.taken <- a.Taken
 }
@@ -230,7 +230,7 @@
 		case <-summary.C:
 			l.summarize()
 		case <-save:
-			l.handOn(l.balancer.Legacy())
+			l.handOn(l.balancer.Snapshot())
 		}
 		if on := l.lame.Load(); on != l.toldLame {
 			l.toldLame = on
--- a/internal/agent/rare_backends_test.go
+++ b/internal/agent/rare_backends_test.go
@@ -300,7 +300,7 @@
 		"is in another pod": {func(b *backends, _ *try, _ chan struct{}, addr string) {
 			told(b, brookferry.Backend{ID: "s", Cell: 7}, addr)
 		}, brookferry.ConnectFailed, 1},
-		"was detached": {func(b *backends, _ *try, _ chan struct{}, _ string) { b.withhold("s", true) }, brookferry.ConnectFailed, 0},
+		"was detached": {func(b *backends, _ *try, _ chan struct{}, _ string) { b.detach("s", true) }, brookferry.ConnectFailed, 0},
 		"is over":      {func(_ *backends, _ *try, over chan struct{}, _ string) { close(over) }, brookferry.NotSent, 1},
 		"window over":  {func(_ *backends, tr *try, _ chan struct{}, _ string) { tr.last = time.Now() }, brookferry.NotSent, 1},
 		"nothing":      {func(*backends, *try, chan struct{}, string) {}, brookferry.OK, 1},
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"brookferry/internal/agent/handover"
 	"bufio"
 	"context"
 	"errors"
@@ -224,7 +225,7 @@
 	}
 	a.admin.within = patience
 	entered, release := make(chan struct{}), make(chan struct{})
-	a.admin.record = func(standing) error { close(entered); <-release; return nil }
+	a.admin.record = func(context.Context, handover.Call) error { close(entered); <-release; return nil }
 	now := make(chan time.Time)
 	close(now)
 	a.accept = func() <-chan time.Time { return now }
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -24,7 +24,7 @@
 	f.taking.Store(false)
 	f.leaves.Store(end.UnixNano()) // from here on each answer ends its connection
 	accepting, accepted, rest, silent := a.accept(), false, time.Duration(0), time.Duration(-1)
-	if a.handover != nil {
+	if a.successor != nil {
 		// Nobody who is turned back there could come anew to this process: each may send once more.
 		accepted, rest, silent = true, emptyIdle, silentAfterStop
 		a.shut(served)
--- a/operations.go
+++ b/operations.go
@@ -21,8 +21,8 @@
 		b.onAttach(e)
 	case Emptying:
 		b.onEmptying(e)
-	case Inherit:
-		b.onInherit(e)
+	case Restore:
+		b.onRestore(e)
 	case BodyWhole:
 		b.onBodyWhole(e)
 	case BodySpent:
--- a/operations_test.go
+++ b/operations_test.go
@@ -205,11 +205,11 @@
 		older.request(id, safe)
 		older.outcome(id, brookferry.Errored, 10*ms)
 	}
-	left := older.b.Legacy().Tokens
+	left := older.b.Snapshot().Tokens
 	for told, want := range map[float64]float64{left: left, -1: 100, 1e9: 100, math.NaN(): 100} {
 		r := newRig(t, settings(), 1, backends(2))
-		r.step(brookferry.Inherit{Legacy: brookferry.Legacy{Tokens: told}})
-		if got := r.b.Legacy().Tokens; got != want {
+		r.step(brookferry.Restore{Snapshot: brookferry.Snapshot{Tokens: told}})
+		if got := r.b.Snapshot().Tokens; got != want {
 			t.Errorf("told %v: %v tokens, want %v", told, got, want)
 		}
 	}
@@ -339,18 +339,18 @@
 
 // What the process before had learned of rates, delays and peers is gone on from: the next one's cold
 // backends get their part at once, and so does it of the limit.
-func TestLegacyIsGoneOnFrom(t *testing.T) {
+func TestSnapshotIsGoneOnFrom(t *testing.T) {
 	older := busy(t, 1)
 	for range 50 {
 		older.hear()
 		older.serve(10, safe, 10*ms)
 	}
-	told := older.b.Legacy()
-	got := func(l *brookferry.Legacy) int {
+	told := older.b.Snapshot()
+	got := func(l *brookferry.Snapshot) int {
 		r := busy(t, 2)
 		if l != nil {
-			r.step(brookferry.Inherit{Legacy: *l})
-			if again := r.b.Legacy(); again.Delay != l.Delay || again.PerBack != l.PerBack || math.Abs(again.Asked/l.Asked-1) > 0.1 {
+			r.step(brookferry.Restore{Snapshot: *l})
+			if again := r.b.Snapshot(); again.Delay != l.Delay || again.PerBack != l.PerBack || math.Abs(again.Asked/l.Asked-1) > 0.1 {
 				t.Errorf("handed on %+v, gone on from %+v", *l, again)
 			}
 		}
@@ -361,14 +361,14 @@
 	if with < 2*without || with < 8 {
 		t.Errorf("%d requests in 2 s to an idle cold backend, %d with nothing handed on", with, without)
 	}
-	for name, l := range map[string]brookferry.Legacy{
+	for name, l := range map[string]brookferry.Snapshot{
 		"nothing":       {},
 		"other classes": {PerBack: 6, Latency: []float64{1}},
 		"no numbers":    {PerBack: math.NaN(), Delay: math.Inf(1), Best: math.NaN(), Asked: -1, Latency: told.Latency, Peers: told.Peers},
 		"huge":          {PerBack: 1e300, Best: 1e300, Asked: 1e300, Latency: told.Latency, Peers: told.Peers},
 	} {
 		r := busy(t, 2)
-		r.step(brookferry.Inherit{Legacy: l})
+		r.step(brookferry.Restore{Snapshot: l})
 		if n := r.serve(60, safe, 10*ms); len(n) != 4 {
 			t.Errorf("%s: served by %v", name, n)
 		}
--- a/state.go
+++ b/state.go
@@ -253,9 +253,9 @@
 	b.best.total = max(served, b.best.sum(b.now))
 }
 
-// Legacy is what a process of an agent hands on to the next: the two are one agent to the rules, and to
+// Snapshot is what a process of an agent hands on to the next: the two are one agent to the rules, and to
 // its peers.
-type Legacy struct {
+type Snapshot struct {
 	Tokens  float64   `json:"tokens"` // in the retry bucket
 	PerBack float64   `json:"per_back"`
 	Delay   float64   `json:"delay"`
@@ -266,9 +266,9 @@
 	Latency []float64 `json:"latency"` // by class
 }
 
-// Legacy returns what the next process starts from.
-func (b *Balancer) Legacy() Legacy {
-	l := Legacy{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now),
+// Snapshot returns what the next process starts from.
+func (b *Balancer) Snapshot() Snapshot {
+	l := Snapshot{Tokens: b.tokens, PerBack: b.perBack, Delay: b.delay, Best: b.best.sum(b.now),
 		Asked: b.asked(), Moved: b.calls.moved}
 	for _, p := range b.peers {
 		demand := -1.0
@@ -283,8 +283,8 @@
 	return l
 }
 
-// onInherit goes on from where the process before was. Its file may hold anything.
-func (b *Balancer) onInherit(e Inherit) {
+// onRestore goes on from where the process before was. Its file may hold anything.
+func (b *Balancer) onRestore(e Restore) {
 	sane := func(x, low, high float64) bool { return x >= low && x <= high }
 	if sane(e.Tokens, 0, bucketCap) {
 		b.tokens = e.Tokens
