Show that a stepped wall clock fails a shutdown's requests and warms a cold backend

Cause, read in the code: front.parse bounds a request by time.Until(time.Unix(0, end)), which has no monotonic part; Translator.Update sets started_ms against the wall's reading at the program's start, and List.merge takes a smaller started_ms for no restart at all.

Seen, real processes with a stepped wall clock: a step forward of an hour after SIGTERM refuses what comes next, a step back leaves it without an answer at the earliest kill; with the backend's or the agent's clock off, 106 to 119 of 200 requests reach a backend that has just started.

--- /dev/null
+++ b/cmd/vetchhaven/wall_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"brookferry/internal/lab/inject"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// tell has another list hold.
+func (c *catalog) tell(list ...listed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now, c.count = list, c.count+1
+	close(c.told)
+	c.told = make(chan struct{})
+}
+
+// A shutdown's times are spans of real time: no step of the wall clock, nor two, keeps a request from its answer.
+func TestWallClockStepsDuringAShutdown(t *testing.T) {
+	for _, steps := range [][]time.Duration{{time.Hour}, {-time.Hour}, {2 * time.Second}, {-2 * time.Second}, {time.Hour, -time.Hour}, {-time.Hour, time.Hour}} {
+		t.Run(fmt.Sprint(steps), func(t *testing.T) {
+			t.Parallel()
+			backend := newStandIn(t)
+			backend.took = 300 * time.Millisecond
+			d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+			awaitReady(t, d.addr)
+			c, err := net.Dial("tcp", d.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			// Half of a request, so that the connection stays open for what comes after the signal.
+			if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			d.signal(t, syscall.SIGTERM)
+			await(t, "the stop", patience, func() bool { return strings.Contains(d.lines(t), "msg=stopping") })
+			for _, step := range steps {
+				d.apply(t, inject.Plan{Wall: step})
+			}
+			if _, err := fmt.Fprintf(c, "\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(patience))
+			var answer bytes.Buffer
+			if _, err := io.Copy(&answer, c); err != nil || !strings.HasPrefix(answer.String(), "HTTP/1.1 200") {
+				t.Errorf("%v, %q", err, answer.String())
+			}
+			if err := d.cmd.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A request that no backend answers has its final answer before the earliest kill, also where the wall clock is stepped back.
+func TestWallClockStepsBackWhileBackendsHang(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -2 * time.Second, 2 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			backend := newStandIn(t)
+			backend.took = time.Hour
+			d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+			awaitReady(t, d.addr)
+			c, err := net.Dial("tcp", d.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			d.signal(t, syscall.SIGTERM)
+			kill := time.Now().Add(3700 * time.Millisecond) // the longest deadline counts as 3 s at most
+			await(t, "the stop", patience, func() bool { return strings.Contains(d.lines(t), "msg=stopping") })
+			d.apply(t, inject.Plan{Wall: step})
+			time.Sleep(time.Second)
+			if _, err := fmt.Fprintf(c, "\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(kill)
+			if _, err := c.Read(make([]byte, 1)); err != nil {
+				t.Errorf("no answer before the kill: %v", err)
+			}
+		})
+	}
+}
+
+// A backend that starts again is cold, whichever machine's wall clock was stepped, and whatever its start time reads as then.
+func TestWallClockStepsAndAColdBackend(t *testing.T) {
+	for name, c := range map[string]struct {
+		start, step time.Duration // of the agent's machine, before it started and since
+		stamp       time.Duration // by which the backend's machine is off
+	}{
+		"agent forward":         {step: time.Hour},
+		"agent back":            {step: -time.Hour},
+		"agent ahead at start":  {start: time.Hour, step: time.Hour},
+		"agent behind at start": {start: -time.Hour, step: -time.Hour},
+		"all forward":           {step: time.Hour, stamp: time.Hour},
+		"all back":              {step: -time.Hour, stamp: -time.Hour},
+		"all back 2 s":          {step: -2 * time.Second, stamp: -2 * time.Second},
+		"backend forward":       {stamp: time.Hour},
+		"backend back":          {stamp: -time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			one, two := newStandIn(t), newStandIn(t)
+			warm, again := ready("one", one), ready("two", two)
+			again.Started = time.Now().Add(-30 * time.Minute).UnixMilli()
+			discovery := newCatalog(t, warm, again)
+			d := deploy(t, discovery.addr, inject.Plan{Wall: c.start}, nil, "")
+			awaitReady(t, d.addr)
+			for range 40 {
+				if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+					t.Fatalf("%d, %v", status, err)
+				}
+			}
+			d.apply(t, inject.Plan{Wall: c.step})
+			again.Started = time.Now().Add(c.stamp).UnixMilli()
+			discovery.tell(warm, again)
+			time.Sleep(300 * time.Millisecond) // the list is heard
+			was := two.seen.Load()
+			for range 200 {
+				if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+					t.Fatalf("%d, %v", status, err)
+				}
+			}
+			if n := two.seen.Load() - was; n > 60 {
+				t.Errorf("%d of 200 requests reach a backend that has just started", n)
+			}
+		})
+	}
+}
