Keep a shutdown's end and cold backends by real time, whatever wall clocks show

Cause: front.parse took the end of a stop as a Unix time; Translator.Update set started_ms against the wall's reading at the program's start, so that a clock that was off made a cold backend warm, and a smaller started_ms no restart.

Change: the stop's end stands on the loop's monotonic clock. Start times (discovery/started.go) are read by the wall clock as it was at the start, as it is now, and, where discovery's answer shows that its clock is another, by that; the latest that is not ahead counts. A start that is told anew while lists are heard and reads as long past counts as now; a changed start time is a later process.

--- a/cmd/vetchhaven/wall_test.go
+++ b/cmd/vetchhaven/wall_test.go
@@ -94,6 +94,29 @@
 	}
 }
 
+// A cold backend is told from a warm one in the first list too, where the agent's wall clock is off from the start: discovery's
+// answer shows its own.
+func TestWallClockOffAtTheStart(t *testing.T) {
+	for _, off := range []time.Duration{time.Hour, -time.Hour, 30 * time.Second, -30 * time.Second} {
+		t.Run(off.String(), func(t *testing.T) {
+			t.Parallel()
+			one, two := newStandIn(t), newStandIn(t)
+			cold := ready("two", two)
+			cold.Started = time.Now().UnixMilli()
+			d := deploy(t, newCatalog(t, ready("one", one), cold).addr, inject.Plan{Wall: off}, nil, "")
+			awaitReady(t, d.addr)
+			for range 200 {
+				if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+					t.Fatalf("%d, %v", status, err)
+				}
+			}
+			if n := two.seen.Load(); n > 60 {
+				t.Errorf("%d of 200 requests reach a backend that has just started", n)
+			}
+		})
+	}
+}
+
 // A backend that starts again is cold, whichever machine's wall clock was stepped, and whatever its start time reads as then.
 func TestWallClockStepsAndAColdBackend(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/agent/discovery/follow.go
+++ b/internal/agent/discovery/follow.go
@@ -76,6 +76,8 @@
 	current *watch    // the one that lists come by; nil: none
 	due     time.Time // of the next opening, where the follower opens by itself; zero: none
 	fails   int
+	heard   time.Time // the latest sign of life of any watch
+	listing bool      // discovery has told a list
 	waits   *backoff.ExponentialBackOff
 	told    chan news
 	tasks   sync.WaitGroup
@@ -137,7 +139,7 @@
 func (f *Follower) Known(m *Members) Update {
 	f.version = m.Version
 	f.whole.merge(m, true)
-	return f.cfg.Update(m, brookferry.ListCached)
+	return f.cfg.Update(m, brookferry.ListCached, 0)
 }
 
 // Run watches until ctx ends.
@@ -328,7 +330,9 @@
 		w.asked = true
 		return
 	}
+	before := f.heard
 	w.alive = time.Now()
+	f.heard = w.alive
 	if w.came.IsZero() {
 		w.came, w.overdue = w.alive, false
 	}
@@ -350,12 +354,12 @@
 		f.opening = nil
 	}
 	if n.list != nil {
-		f.listed(w, n.list)
+		f.listed(w, n.list, before)
 	}
 }
 
-// listed takes a list over.
-func (f *Follower) listed(w *watch, m *Members) {
+// listed takes a list over. Before it the latest sign of life came at a time.
+func (f *Follower) listed(w *watch, m *Members, before time.Time) {
 	f.fails = 0
 	f.waits.Reset()
 	was := f.version
@@ -380,7 +384,13 @@
 	if m.Full {
 		kind = brookferry.ListFull
 	}
-	f.cfg.Post(f.cfg.Update(m, kind))
+	within := time.Duration(0)
+	if f.listing { // else what was told before may be old
+		within = time.Since(before) + noticedWithin
+	}
+	f.listing = true
+	f.cfg.starts.compare(w.date)
+	f.cfg.Post(f.cfg.Update(m, kind, within))
 }
 
 // passOn tells the fleet of a list.
--- a/internal/agent/discovery/follow_test.go
+++ b/internal/agent/discovery/follow_test.go
@@ -524,7 +524,7 @@
 		{ID: "", Addr: "127.0.0.1:9", State: "ready"},
 		{ID: "what", Addr: "127.0.0.1:9", State: "asleep"},
 		{ID: "off", State: "gone"},
-	}}, brookferry.ListFull)
+	}}, brookferry.ListFull, 0)
 	want := []brookferry.Backend{{ID: "new", Cell: 3, Weight: 2, Started: time.Hour - 3*time.Second}, {ID: "old", Zone: -1, Kind: -1},
 		{ID: "off", State: brookferry.Gone, Zone: -1, Kind: -1}}
 	if !slices.Equal(u.List.Backends, want) || len(u.Addrs) != 2 {
--- a/internal/agent/discovery/list.go
+++ b/internal/agent/discovery/list.go
@@ -47,10 +47,13 @@
 	Zones, Kinds []string
 	At           func(time.Time) time.Duration // the agent's clock
 	Log          *slog.Logger
+
+	starts startTimes
 }
 
-// Update translates a list. An entry that makes no sense is left out and logged: the others still count.
-func (t *Translator) Update(m *Members, kind brookferry.ListKind) Update {
+// Update translates a list. An entry that makes no sense is left out and logged: the others still count. What the list tells
+// anew has happened within a span; 0: that is not known.
+func (t *Translator) Update(m *Members, kind brookferry.ListKind, within time.Duration) Update {
 	u := Update{List: brookferry.List{Kind: kind}, Addrs: map[string]string{}}
 	for _, s := range m.Servers {
 		state, ok := states[s.State]
@@ -67,11 +70,14 @@
 		}
 		b := brookferry.Backend{ID: s.ID, State: state, Zone: slices.Index(t.Zones, s.Zone),
 			Kind: slices.Index(t.Kinds, s.Kind), Cell: s.Cell, Weight: s.Weight}
-		if s.Started > 0 {
-			b.Started = max(0, t.At(time.UnixMilli(s.Started)))
+		if state != brookferry.Gone {
+			b.Started = t.starts.at(s.ID, s.Started, t.clocks, within)
 		}
 		u.List.Backends = append(u.List.Backends, b)
 	}
+	if kind != brookferry.ListDelta {
+		t.starts.forget(u.Addrs)
+	}
 	return u
 }
 
--- a/internal/agent/discovery/watch.go
+++ b/internal/agent/discovery/watch.go
@@ -30,6 +30,7 @@
 	drop  context.CancelFunc
 	via   source.Source // set by its task before it tells anything
 	began time.Time     // the same; when it was opened
+	date  string        // the same; of the head of discovery's answer
 
 	// The supervisor's.
 	asked   bool      // it has been opened: before, it waits for its turn
@@ -100,6 +101,7 @@
 		return err
 	}
 	defer resp.Body.Close()
+	w.date = resp.Header.Get("Date")
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -34,7 +34,7 @@
 	gap     time.Duration // within which its next byte must
 
 	taking atomic.Bool  // accepts clients
-	leaves atomic.Int64 // a successor has its clients, and the platform kills then (Unix, ns); 0: not yet
+	stopAt atomic.Int64 // a stop began, and what is taken has to be answered by then, on the loop's clock; 0: none
 
 	residency gate.Keeper // nil: no policy
 
@@ -125,7 +125,10 @@
 )
 
 // emptying reports whether clients are to go elsewhere: each answer ends its connection.
-func (f *front) emptying() bool { return f.loop.lame.Load() || f.leaves.Load() != 0 }
+func (f *front) emptying() bool { return f.loop.lame.Load() || f.stopAt.Load() != 0 }
+
+// stopBy has each answer end its connection from here on, and be given by a time.
+func (f *front) stopBy(end time.Time) { f.stopAt.Store(int64(f.loop.clock.at(end))) }
 
 // setLame empties the agent of clients, or takes them again.
 func (f *front) setLame(on bool) { f.loop.lame.Store(on) }
@@ -146,7 +149,7 @@
 			since = time.Time{}
 		case since.IsZero():
 			since = time.Now()
-		case time.Since(since) >= emptyIdle && f.leaves.Load() == 0:
+		case time.Since(since) >= emptyIdle && f.stopAt.Load() == 0:
 			f.closeIdle(emptyIdle, emptyIdle)
 		}
 	}
@@ -384,8 +387,8 @@
 	if fail != nil {
 		return nil, fail
 	}
-	if end := f.leaves.Load(); end != 0 { // it has to be answered before the platform kills
-		wait = max(0, min(wait, time.Until(time.Unix(0, end))))
+	if end := time.Duration(f.stopAt.Load()); end != 0 { // it has to be answered before the platform kills
+		wait = max(0, min(wait, end-f.loop.clock.now()))
 	}
 	// A client's time runs from when its request was sent, which ends with the last byte.
 	r.deadline, r.left = time.Now().Add(wait), wait
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -84,7 +84,7 @@
 		t.Errorf("not ready: %+v", resp)
 	}
 	older.stop()
-	waitFor(t, "the older one to stop accepting", func() bool { return older.front.leaves.Load() != 0 })
+	waitFor(t, "the older one to stop accepting", func() bool { return older.front.stopAt.Load() != 0 })
 	if resp := knock(t, older, "GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n"); resp.StatusCode != 503 {
 		t.Errorf("the older one says it is ready: %+v", resp)
 	}
@@ -189,7 +189,7 @@
 	resp := c.answer()
 	a.stop()
 	waitFor(t, "the process to leave", func() bool {
-		return a.front.leaves.Load() != 0 && a.listener.TCPListener.SetDeadline(time.Time{}) != nil
+		return a.front.stopAt.Load() != 0 && a.listener.TCPListener.SetDeadline(time.Time{}) != nil
 	})
 	close(hold)
 	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != text {
--- a/internal/agent/rare_front_test.go
+++ b/internal/agent/rare_front_test.go
@@ -219,7 +219,7 @@
 	for name, behind := range map[string]string{"a byte": "G", "a request": get("/get/x", ""), "more than is kept": strings.Repeat("x", 1<<20)} {
 		t.Run(name, func(t *testing.T) {
 			f, dial, posts := socketFront(t)
-			f.leaves.Store(time.Now().Add(patience).UnixNano()) // each answer ends its connection
+			f.stopBy(time.Now().Add(patience)) // each answer ends its connection
 			c := dial()
 			write(t, c, get("/get/x", ""))
 			r := post[arrived](t, posts).request
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -30,7 +30,7 @@
 func (s *stopping) stopNow(t *testing.T) {
 	t.Helper()
 	s.stop()
-	waitFor(t, "the stop", func() bool { return s.front.leaves.Load() != 0 })
+	waitFor(t, "the stop", func() bool { return s.front.stopAt.Load() != 0 })
 }
 
 // ended waits for the agent's end, which leaves nothing behind.
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -22,7 +22,7 @@
 	a.log.Info("stopping")
 	f, began, end := a.front, time.Now(), time.Now().Add(a.stopIn)
 	f.taking.Store(false)
-	f.leaves.Store(end.UnixNano()) // from here on each answer ends its connection
+	f.stopBy(end)
 	accepting, accepted, rest, silent := a.accept(), false, time.Duration(0), time.Duration(-1)
 	if a.successor != nil {
 		// Nobody who is turned back there could come anew to this process: each may send once more.
