Fail a test where code begins to work with the wall clock

Need: a rule in prose would not hold that spans rest on the monotonic clock.

Change: internal/systime reads the wall clock; its test goes through the sources for functions that take a time out of the wall clock or put one in, and names the nine files that may, each with its reason. Traces and incarnations read it there.

--- a/internal/fleet/fact/trace.go
+++ b/internal/fleet/fact/trace.go
@@ -1,10 +1,10 @@
 package fact
 
 import (
+	"brookferry/internal/systime"
 	"encoding/json"
 	"io"
 	"sync"
-	"time"
 )
 
 // Trace writes a line for each fact used or told, and what else is to be checked from outside, with the time on the wall.
@@ -30,7 +30,7 @@
 	if t.W == nil {
 		return
 	}
-	line["at"] = time.Now().UnixMicro()
+	line["at"] = systime.Wall().UnixMicro()
 	data, err := json.Marshal(line)
 	if err != nil {
 		panic(err) // it holds names and numbers alone
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"brookferry/internal/fleet/start"
 	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
+	"brookferry/internal/systime"
 )
 
 // Config is a process's place in its fleet.
@@ -110,7 +111,7 @@
 		cfg.Calls = http.NotFoundHandler()
 	}
 	f := &Fleet{cfg: cfg, texts: cfg.shared(), told: told, zones: zones, turn: make(chan struct{}, 1), born: cmp.Or(cfg.Since, time.Now()), part: -1}
-	incarnation := uint64(time.Now().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
+	incarnation := uint64(systime.Wall().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
 	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
 	f.relay = newRelay(f)
 	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await, Door: cfg.Door,
--- a/internal/fleet/spoke/spoke.go
+++ b/internal/fleet/spoke/spoke.go
@@ -23,6 +23,7 @@
 	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
 	"brookferry/internal/settings"
+	"brookferry/internal/systime"
 )
 
 // Config is an agent's place in its fleet.
@@ -104,7 +105,7 @@
 	}
 	now := time.Now()
 	s := &Spoke{cfg: cfg, told: told, zones: zones, hubs: order(cfg.Name, cfg.Site, cfg.Region, cfg.Hubs), born: now, lost: now,
-		incarnation: uint64(now.UnixMilli()), // orders the processes of one name; a clock set back costs a fact's bound
+		incarnation: uint64(systime.Wall().UnixMilli()), // orders the processes of one name; a clock set back costs a fact's bound
 		turn:        make(chan struct{}, 1), attached: make(chan struct{}), known: Known{Part: -1}}
 	if s.dial = cfg.Dial; s.dial == nil {
 		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: listen.Addr().AsSlice()}, KeepAlive: -1} // who is called knows by it who calls
--- a/internal/hubd/hubd.go
+++ b/internal/hubd/hubd.go
@@ -17,6 +17,7 @@
 	"brookferry/internal/fleet/hub"
 	"brookferry/internal/residency"
 	"brookferry/internal/settings"
+	"brookferry/internal/systime"
 )
 
 const connectWithin = 250 * time.Millisecond // to the list service
@@ -54,7 +55,7 @@
 		}
 	}
 	kind := settings.Kind(h.settings)
-	h.server = hub.New(hub.Config{Name: cfg.Name, Label: cfg.Label, Program: program, Incarnation: uint64(time.Now().UnixMilli()), Most: cfg.Most, AdmitRate: cfg.AdmitRate,
+	h.server = hub.New(hub.Config{Name: cfg.Name, Label: cfg.Label, Program: program, Incarnation: uint64(systime.Wall().UnixMilli()), Most: cfg.Most, AdmitRate: cfg.AdmitRate,
 		Bounds: bounds, Settings: kind, Policy: fleet.Policy(h.policy), PolicyAge: h.policy.Confirmed, Log: log, Trace: trace})
 	var err error
 	h.fleet, err = fleet.New(fleet.Config{Name: cfg.Name, Site: cfg.Zone, Version: program, Listen: cfg.Listen, Advertise: cfg.Advertise, Seeds: cfg.Seeds, Label: cfg.Label,
--- /dev/null
+++ b/internal/systime/systime_test.go
@@ -0,0 +1,112 @@
+package systime
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// wallTime are the files that have to do with the wall clock's time, each with its reason.
+var wallTime = map[string]string{
+	"internal/systime/systime.go":         "reads it",
+	"internal/agent/discovery/started.go": "discovery gives start times of backends as Unix times; read by every clock that may be right, and bounded",
+	"internal/agent/handover/record.go":   "versions of the program before this one read and write Unix times; used only where theirs stand alone",
+	"internal/fleet/fleet.go":             "orders the processes of one name over a restart of the machine",
+	"internal/fleet/spoke/spoke.go":       "the same",
+	"internal/hubd/hubd.go":               "the same",
+	"internal/fleet/fact/trace.go":        "a line's time in a trace",
+	"internal/fleet/spoke/door.go":        "a deadline that is past at any time",
+	"internal/fleet/spoke/stream.go":      "the same",
+}
+
+// inWallTime are the functions and methods that take a time out of the wall clock, or put one in.
+var inWallTime = map[string]bool{"Unix": true, "UnixMilli": true, "UnixMicro": true, "UnixNano": true, "Round": true,
+	"Date": true, "Clock": true, "Format": true, "AppendFormat": true, "Parse": true, "ParseTime": true, "ParseInLocation": true, "Wall": true, "UTC": true}
+
+// No code but that of the files above works with the wall clock: it may be stepped at any time.
+func TestOnePlaceReadsTheWallClock(t *testing.T) {
+	found := map[string]bool{}
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		name := filepath.ToSlash(strings.TrimPrefix(path, "../../"))
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (name == "internal/lab" || name == "internal/scale" || name == ".git"): // tests' own
+			return fs.SkipDir
+		case !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go"):
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		if !imports(file, "time") && !imports(file, "brookferry/internal/systime") {
+			return nil
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			if s, ok := call.Fun.(*ast.SelectorExpr); ok && inWallTime[s.Sel.Name] && !ofAnother(s) && !roundsSpan(s, call) {
+				found[name] = true
+				if wallTime[name] == "" {
+					t.Errorf("%s: %s works with the wall clock, which may be stepped", name, s.Sel.Name)
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range wallTime {
+		if !found[name] {
+			t.Errorf("%s has nothing to do with the wall clock any more", name)
+		}
+	}
+}
+
+func imports(file *ast.File, path string) bool {
+	for _, i := range file.Imports {
+		if i.Path.Value == `"`+path+`"` {
+			return true
+		}
+	}
+	return false
+}
+
+// ofAnother reports whether a function is of a package that has nothing to do with time.
+func ofAnother(s *ast.SelectorExpr) bool {
+	of, ok := s.X.(*ast.Ident)
+	return ok && (of.Name == "math" || of.Name == "json" || of.Name == "strconv" || of.Name == "url" || of.Name == "kong" || of.Name == "uuid" || of.Name == "netip" || of.Name == "atomic")
+}
+
+// roundsSpan reports whether a call rounds a span of time: Round(0) alone is of a time, from which it takes the monotonic part.
+func roundsSpan(s *ast.SelectorExpr, call *ast.CallExpr) bool {
+	literal, ok := callArg(call).(*ast.BasicLit)
+	return s.Sel.Name == "Round" && !(ok && literal.Value == "0")
+}
+
+// SinceBoot runs on by itself.
+func TestSinceBoot(t *testing.T) {
+	before, began := SinceBoot(), time.Now()
+	time.Sleep(time.Millisecond)
+	took, by := SinceBoot()-before, time.Since(began)
+	if took < time.Millisecond || took > by+time.Millisecond {
+		t.Errorf("%v in %v", took, by)
+	}
+}
+
+func callArg(call *ast.CallExpr) ast.Expr {
+	if len(call.Args) == 0 {
+		return nil
+	}
+	return call.Args[0]
+}
