Show what one failing read or write, and an unseen hang-up, do to a client's request

Cause, read in the code: clientConn takes every error of a read or write for the connection's end; its task reads no further than 4 KiB ahead while a large body waits, so the client's end behind that is not seen.

Seen, real processes: a write of the answer that fails once (ENOBUFS, ENOMEM, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, EIO) leaves the request without an answer, a read without its backend's. Of ten large bodies whose client closed or reset, ten attempts began more than 0.1 s later.

--- /dev/null
+++ b/cmd/vetchhaven/clients_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/inject"
+)
+
+// errnosOfConnections are those that reads and writes of a TCP connection may return while the other side still has it.
+var errnosOfConnections = []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EINTR, syscall.EIO}
+
+// A request that was taken has its answer, though reads of its connection or the write of the answer fail for a moment.
+func TestConnectionThatFailsForAMoment(t *testing.T) {
+	backend := newStandIn(t)
+	backend.took = 100 * time.Millisecond
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	for _, errno := range errnosOfConnections {
+		for _, call := range []string{inject.Read, inject.Write} {
+			for _, times := range []int{1, 3} {
+				name := fmt.Sprintf("%d x %s %v", times, call, errno)
+				c, err := net.Dial("tcp", d.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = c.SetDeadline(time.Now().Add(patience))
+				before := backend.seen.Load()
+				if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Trace-Id: %016x\r\n\r\n", requests.Add(1)); err != nil {
+					t.Fatal(err)
+				}
+				await(t, "the attempt", patience, func() bool { return backend.seen.Load() > before })
+				d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: call, Path: "client:" + c.LocalAddr().String(), Errno: errno, Times: times}}})
+				if call == inject.Read { // so that something is read
+					if _, err := io.WriteString(c, "G"); err != nil {
+						t.Fatal(err)
+					}
+				}
+				answer, err := io.ReadAll(c)
+				c.Close()
+				if !strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+					t.Errorf("%s: %v, %q", name, err, answer)
+				}
+			}
+		}
+	}
+}
+
+// No attempt begins for a large body whose client has gone more than 0.1 s ago, though the rest of what it sent lies unread.
+func TestUploadOfAClientThatHasGone(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){
+		"closed": func(c *net.TCPConn) { c.Close() },
+		"reset":  func(c *net.TCPConn) { _ = c.SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := freeAddr(t) // refuses: the request waits for a retry
+			d := deploy(t, newCatalog(t, listed{ID: "s", Addr: backend, Zone: "a", Kind: "m", State: "ready", Weight: 1}).addr, inject.Plan{}, nil, "")
+			awaitReady(t, d.addr)
+			var begun atomic.Int64
+			for round := range 10 {
+				conn, err := net.Dial("tcp", d.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c := conn.(*net.TCPConn)
+				head := fmt.Sprintf("POST /pay/x HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\nX-Trace-Id: %016x\r\n\r\n", requests.Add(1))
+				if _, err := io.Copy(c, io.MultiReader(strings.NewReader(head), bytes.NewReader(make([]byte, 150_000)))); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(20 * time.Millisecond)
+				end(c)
+				time.Sleep(100 * time.Millisecond)
+				ln, err := net.Listen("tcp", backend)
+				if err != nil {
+					t.Fatalf("round %d: %v", round, err)
+				}
+				server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { begun.Add(1) })}
+				go func() { _ = server.Serve(ln) }()
+				time.Sleep(600 * time.Millisecond)
+				server.Close()
+			}
+			if n := begun.Load(); n > 0 {
+				t.Errorf("%d of 10 attempts began after the client had gone", n)
+			}
+		})
+	}
+}
--- a/internal/lab/inject/inject.go
+++ b/internal/lab/inject/inject.go
@@ -41,7 +41,7 @@
 type Failure struct {
 	Call  string        `json:"call"`
 	Errno syscall.Errno `json:"errno"`
-	Path  string        `json:"path"`  // part of the name of the file, or of what the descriptor is; "": any
+	Path  string        `json:"path"`  // part of the name of the file; "client:" and an IPv4 address: the other side of a connection; "": any
 	Times int           `json:"times"` // 0: as long as the plan is in force
 }
 
