Serve a client through reads and writes that fail, and see its end behind unread bytes

Cause: clientConn (internal/agent/clientconn.go) took each error for the connection's end, and looked for the client's end by reading alone, which waits while a large body does. A request's time ran from when it had been parsed.

Change: a read or write that fails is made again for up to 3 s, but after EPIPE, ECONNRESET, ENOTCONN and EBADF, which nothing follows; a connection that is broken says so again. While bytes wait for room the kernel is asked every 25 ms whether the client has gone (TCP_INFO). A request's time runs from when its last byte was read off the socket.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // clientConn is a connection of a client. A task of its own is the only one that reads the socket, ahead of the server:
@@ -31,6 +32,7 @@
 	until    time.Time
 	timer    *time.Timer
 	first    time.Time // the first byte of the present request came; zero: none has
+	came     time.Time // the latest byte that was kept
 	done     int       // requests that have their answer
 	framing
 }
@@ -69,8 +71,12 @@
 // receive reads the socket until its end.
 func (c *clientConn) receive() {
 	p := make([]byte, readPart)
+	var failing failures
 	for {
 		n, err := c.Conn.Read(p)
+		if n == 0 && failing.passing(err) {
+			continue
+		}
 		if !c.keep(p[:n], err) {
 			return
 		}
@@ -84,6 +90,7 @@
 	if len(p) > 0 && !c.closing && !c.flooded {
 		if c.flooded = c.awaiting && len(c.ahead)+len(p) > aheadMost; !c.flooded {
 			c.ahead = append(c.ahead, p...)
+			c.came = time.Now()
 			c.begin()
 		}
 	}
@@ -97,11 +104,29 @@
 	}
 	c.changed.Broadcast()
 	for len(c.ahead) >= readPart && !c.closing && !c.awaiting {
-		c.changed.Wait()
+		c.awaitRoom()
 	}
 	return true
 }
 
+// hangUpEvery is how often it is looked whether a client has gone of whom bytes lie unread.
+const hangUpEvery = 25 * time.Millisecond
+
+// awaitRoom waits for a change, and looks now and then whether the client has gone: while the task reads nothing, nothing
+// tells of that. The lock is held.
+func (c *clientConn) awaitRoom() {
+	look := time.AfterFunc(hangUpEvery, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.changed.Broadcast()
+	})
+	defer look.Stop()
+	c.changed.Wait()
+	if hungUp(c.Conn) {
+		c.left()
+	}
+}
+
 // begin notes when a request began to come. The lock is held.
 func (c *clientConn) begin() {
 	if !c.awaiting && c.first.IsZero() {
@@ -176,7 +201,13 @@
 	c.mu.Lock()
 	c.written = true
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	var failing failures
+	for written := 0; ; {
+		n, err := c.Conn.Write(p[written:])
+		if written += n; !failing.passing(err) {
+			return written, err
+		}
+	}
 }
 
 // Close ends the connection. Where an answer was written the client can still read it: the task drops what comes, and
@@ -243,6 +274,13 @@
 	return len(c.ahead) > 0 || c.inside || c.whole > c.done || unread(c.Conn)
 }
 
+// lastByte is when the latest byte came of what was read.
+func (c *clientConn) lastByte() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.came
+}
+
 // requestSince is when the present request began to come: the first one with its connection.
 func (c *clientConn) requestSince() time.Time {
 	c.mu.Lock()
@@ -265,6 +303,27 @@
 	return nil
 }
 
+// hungUp reports whether the other side has ended its sending, or reset the connection, also behind bytes that nobody has read.
+func hungUp(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	const close, closeWait, lastAck, closing = 7, 8, 9, 11 // of a TCP connection, in the kernel's numbers
+	var state [1]byte                                      // struct tcp_info begins with it
+	size := uint32(len(state))
+	var errno syscall.Errno
+	err = raw.Control(func(fd uintptr) {
+		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&state)), uintptr(unsafe.Pointer(&size)), 0)
+	})
+	return err == nil && errno == 0 && (state[0] == close || state[0] == closeWait || state[0] == lastAck || state[0] == closing)
+}
+
 // unread reports whether bytes lie on a connection that nobody has read.
 func unread(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -98,6 +98,14 @@
 	return c
 }
 
+// lastByte is when a request's latest byte came.
+func lastByte(hr *http.Request) time.Time {
+	if c := clientOf(hr); c != nil {
+		return c.lastByte()
+	}
+	return time.Now()
+}
+
 // serve takes connections until the listener is closed.
 func (f *front) serve(l net.Listener) error { return f.server.Serve(clientListener{l, &f.readers}) }
 
@@ -391,7 +399,7 @@
 		wait = max(0, min(wait, end-f.loop.clock.now()))
 	}
 	// A client's time runs from when its request was sent, which ends with the last byte.
-	r.deadline, r.left = time.Now().Add(wait), wait
+	r.deadline, r.left = lastByte(hr).Add(wait), wait
 	u := url.URL{Path: hr.URL.Path, RawPath: hr.URL.RawPath, RawQuery: hr.URL.RawQuery, ForceQuery: hr.URL.ForceQuery}
 	header := h.Clone()
 	for _, connection := range h["Connection"] {
