Show that a held-up agent tells a backend of more time than the client has left

Cause, read in the code: X-Expires-In (backends.go) is what is left until the attempt's end when the header is made, rounded to the nearest millisecond; a tick before the client's deadline is all that the way to the backend has beside the slack.

--- /dev/null
+++ b/cmd/vetchhaven/deadline_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/inject"
+)
+
+// What an attempt tells its backend is at most what its client has left, with 0.15 s of slack: for first attempts, retries and
+// hedged requests, also where the process is held up for 0.15 s at any moment.
+func TestDeadlinePassedOn(t *testing.T) {
+	const slack, hold = 150 * time.Millisecond, 150 * time.Millisecond
+	var ends sync.Map // when the client stops waiting, by request
+	var attempts, over atomic.Int64
+	var worst atomic.Int64
+	list := []listed{}
+	for i := range 3 {
+		addr := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+			now := time.Now()
+			attempts.Add(1)
+			end, _ := ends.Load(r.Header.Get("X-Trace-Id"))
+			stated, err := strconv.ParseFloat(r.Header.Get("X-Expires-In"), 64)
+			if err != nil || end == nil {
+				t.Errorf("X-Expires-In %q: %v", r.Header.Get("X-Expires-In"), err)
+				return
+			}
+			beyond := time.Duration(stated*float64(time.Second)) - end.(time.Time).Sub(now)
+			if beyond > slack {
+				over.Add(1)
+			}
+			for old := worst.Load(); int64(beyond) > old && !worst.CompareAndSwap(old, int64(beyond)); old = worst.Load() {
+			}
+			switch rand.IntN(3) {
+			case 0:
+				w.Header().Set("X-Never-Ran", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			case 1: // slow enough for a hedged request
+				select {
+				case <-time.After(150 * time.Millisecond):
+				case <-r.Context().Done():
+				}
+			}
+		})
+		list = append(list, listed{ID: fmt.Sprint("s", i), Addr: addr, Zone: "a", Kind: "m", State: "ready", Weight: 1})
+	}
+	d := deploy(t, newCatalog(t, list...).addr, inject.Plan{}, nil, "", `"TryLimit":4`, `"TryLimit":4,"SecondCopies":true,"Cancel":true`, `"AimMs":5000`, `"AimMs":60`)
+	awaitReady(t, d.addr)
+	var clients sync.WaitGroup
+	end := time.Now().Add(6 * time.Second)
+	for range 16 {
+		clients.Go(func() {
+			for time.Now().Before(end) {
+				waits := time.Duration(200+rand.IntN(400)) * time.Millisecond
+				id := fmt.Sprintf("%016x", requests.Add(1))
+				req, err := http.NewRequest("GET", "http://"+d.addr+"/get/x", nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Header.Set("X-Trace-Id", id)
+				req.Header.Set("X-Expires-In", fmt.Sprintf("%.3f", waits.Seconds()))
+				ends.Store(id, time.Now().Add(waits))
+				resp, err := alone.Do(req)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(650+rand.IntN(200)) * time.Millisecond) // no request is held up twice
+		d.signal(t, syscall.SIGSTOP)
+		time.Sleep(hold)
+		d.signal(t, syscall.SIGCONT)
+	}
+	clients.Wait()
+	t.Logf("%d attempts, the worst %v beyond", attempts.Load(), time.Duration(worst.Load()))
+	if over.Load() > 0 {
+		t.Errorf("%d of %d attempts were told of more time than the client has left, by up to %v", over.Load(), attempts.Load(), time.Duration(worst.Load()))
+	}
+}
--- a/cmd/vetchhaven/faults_test.go
+++ b/cmd/vetchhaven/faults_test.go
@@ -127,7 +127,8 @@
   "Contract":{"AskWithinMs":1000,"DrainGraceMs":500,"GraceToAnswerMs":20,"ColdFrom":0.1,"RampTimeMs":20000,"FallMultiple":3,"FallMs":2000}}}`
 
 // deploy starts the program with a plan in force. A listener and a folder make it replaceable.
-func deploy(t *testing.T, discovery string, plan inject.Plan, ln *net.TCPListener, dir string) *deployed {
+// Edits are pairs of texts that are replaced in its configuration.
+func deploy(t *testing.T, discovery string, plan inject.Plan, ln *net.TCPListener, dir string, edits ...string) *deployed {
 	t.Helper()
 	program, err := faulty()
 	if err != nil {
@@ -139,7 +140,8 @@
 	if ln != nil {
 		d.addr = ln.Addr().String()
 	}
-	if err := errors.Join(d.Write(plan), os.WriteFile(d.config, fmt.Appendf(nil, faultsConfig, d.addr, discovery), 0o600)); err != nil {
+	config := strings.NewReplacer(edits...).Replace(fmt.Sprintf(faultsConfig, d.addr, discovery))
+	if err := errors.Join(d.Write(plan), os.WriteFile(d.config, []byte(config), 0o600)); err != nil {
 		t.Fatal(err)
 	}
 	if d.log, err = os.Create(filepath.Join(own, "log")); err != nil {
--- /dev/null
+++ b/cmd/vetchhaven/shutdown_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/inject"
+)
+
+// shutdownClient sends request after request on a connection for as long as the agent keeps it open, and on a further one where
+// the agent closed it between two requests.
+type shutdownClient struct {
+	addr string
+	stop *atomic.Bool
+
+	answered, lost *atomic.Int64
+	t              *testing.T
+}
+
+func (c *shutdownClient) run() {
+	var conn net.Conn
+	var in *bufio.Reader
+	used := false
+	for !c.stop.Load() {
+		if conn == nil {
+			var err error
+			if conn, err = net.DialTimeout("tcp", c.addr, time.Second); err != nil {
+				return // it takes no further connections
+			}
+			in, used = bufio.NewReader(conn), false
+		}
+		sent := time.Now()
+		_, err := fmt.Fprintf(conn, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\n\r\n", requests.Add(1))
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(in, nil)
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil {
+			conn.Close()
+			conn = nil
+			// A reset, or an end between two requests: it has not been read, and is sent once more.
+			if !used && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+				c.lost.Add(1)
+				c.t.Logf("a request has no answer after %v: %v", time.Since(sent), err)
+			}
+			continue
+		}
+		c.answered.Add(1)
+		if used = true; resp.Close {
+			conn.Close()
+			conn = nil
+		}
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// Where deadlines are short the kill comes soon: 0.7 s and the longest deadline after SIGTERM. Clients send on every connection
+// that is open until then, on backends that hang, and signals come in series; each request has its answer, and the program has
+// ended by itself.
+func TestKillAtItsEarliest(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline time.Duration
+		hang     bool
+		signals  []syscall.Signal // 60 ms apart, the first at once
+		crowd    int
+		step     time.Duration
+	}{
+		"250 ms":                      {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}},
+		"250 ms, hanging":             {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}},
+		"500 ms, hanging":             {deadline: 500 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}},
+		"SIGTERM in series":           {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM}},
+		"SIGHUP before and after":     {deadline: 300 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}},
+		"a crowd":                     {deadline: 300 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, crowd: 100},
+		"a crowd, hanging":            {deadline: 300 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}, crowd: 100},
+		"the clock an hour back":      {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}, step: -time.Hour},
+		"the clock two seconds ahead": {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}, step: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newStandIn(t)
+			if backend.took = 5 * time.Millisecond; c.hang {
+				backend.took = time.Hour
+			}
+			d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "", `"DeadlineMs":5000`, fmt.Sprintf(`"DeadlineMs":%d`, c.deadline.Milliseconds()),
+				`"AimMs":5000`, fmt.Sprintf(`"AimMs":%d`, c.deadline.Milliseconds()), `"sockets":1024`, `"sockets":128`)
+			awaitReady(t, d.addr)
+			var stop atomic.Bool
+			var answered, lost atomic.Int64
+			var clients sync.WaitGroup
+			for range 10 {
+				clients.Go((&shutdownClient{d.addr, &stop, &answered, &lost, t}).run)
+			}
+			for range c.crowd {
+				if conn, err := net.DialTimeout("tcp", d.addr, time.Second); err == nil {
+					defer conn.Close()
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+			before, termed := answered.Load(), time.Time{}
+			for _, s := range c.signals {
+				if s == syscall.SIGTERM && termed.IsZero() {
+					termed = time.Now()
+				}
+				d.signal(t, s)
+				time.Sleep(60 * time.Millisecond)
+			}
+			if c.step != 0 {
+				d.apply(t, inject.Plan{Wall: c.step})
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- d.cmd.Wait() }()
+			select {
+			case err := <-ended:
+				if err != nil {
+					t.Errorf("it ended with %v", err)
+				}
+			case <-time.After(time.Until(termed.Add(c.deadline + 700*time.Millisecond))):
+				t.Error("it runs still at the kill")
+			}
+			stop.Store(true)
+			_ = d.cmd.Process.Kill()
+			clients.Wait()
+			if answered.Load() == before || lost.Load() > 0 {
+				t.Errorf("%d answered since the signal, %d lost", answered.Load()-before, lost.Load())
+			}
+		})
+	}
+}
