Tell backends of 10 ms less than an attempt has left

Cause: the time told was what the attempt had left when its header was made, rounded to the nearest millisecond, so that a hold of 0.15 s and the way to the backend together passed the slack (backends.go, send).

Change: 10 ms less, cut off to the millisecond.

--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -21,6 +21,10 @@
 	"brookferry/internal/wire"
 )
 
+// onTheWay is what a backend is told less than an attempt has left: a request takes a moment to come there, after one to come
+// here, and may tell no more than its client has.
+const onTheWay = 10 * time.Millisecond
+
 const maxBody = 64 << 10 // bodies and answers up to this are held whole, and can be sent again
 
 // A backend may answer twice, the second time some milliseconds after the first. On a connection that rests that is seen,
@@ -480,7 +484,8 @@
 		until, ok = t.ctx.Deadline()
 	}
 	if ok {
-		req.Header.Set("X-Expires-In", strconv.FormatFloat(max(0, time.Until(until).Seconds()), 'f', 3, 64))
+		left := max(0, time.Until(until)-onTheWay).Truncate(time.Millisecond)
+		req.Header.Set("X-Expires-In", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 	}
 	// ClientConn has no pool behind it and sends a request only once; Transport.RoundTrip would
 	// send it again by itself on a stale connection, unasked and uncounted.
