--- a/cmd/vetchhaven/reload_test.go
+++ b/cmd/vetchhaven/reload_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"brookferry/internal/lab/inject"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,3 +67,58 @@
 		})
 	}
 }
+
+// The new discovery may refuse, hang or reset at first, whether lists are pushed or asked for, and a further SIGHUP may follow at
+// once: what it has to tell counts 4 s after the signal, and its drains half a second after that.
+func TestReloadToADiscoveryThatFails(t *testing.T) {
+	old, fresh := newStandIn(t), newStandIn(t)
+	for _, mode := range []string{"automatic", "subscribe"} {
+		for name, fail := range map[string]func(w http.ResponseWriter, r *http.Request){
+			"refuses": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+			"hangs":   func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+			"resets":  func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			"is mute": func(w http.ResponseWriter, r *http.Request) {
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			},
+		} {
+			for _, times := range []int64{1, 2} {
+				t.Run(fmt.Sprint(mode, " ", name, " ", times), func(t *testing.T) {
+					t.Parallel()
+					var calls atomic.Int64
+					after := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+						if calls.Add(1) <= times {
+							fail(w, r)
+							return
+						}
+						list := []listed{{ID: "old", Addr: old.addr, Zone: "a", Kind: "m", State: "draining", Weight: 1}, ready("new", fresh)}
+						_ = json.NewEncoder(w).Encode(map[string]any{"version": 1, "full": true, "servers": list})
+						_ = http.NewResponseController(w).Flush()
+						<-r.Context().Done()
+					})
+					before := newCatalog(t, ready("old", old))
+					d := deploy(t, before.addr, inject.Plan{}, nil, "", "automatic", mode)
+					awaitReady(t, d.addr)
+					for _, to := range []string{freeAddr(t), after} { // the first of two configurations in a row names nobody
+						if err := os.WriteFile(d.config, []byte(strings.Replace(fmt.Sprintf(faultsConfig, d.addr, to), "automatic", mode, 1)), 0o600); err != nil {
+							t.Fatal(err)
+						}
+						d.signal(t, syscall.SIGHUP)
+					}
+					told := time.Now()
+					time.Sleep(time.Until(told.Add(4*time.Second + 400*time.Millisecond)))
+					id := fmt.Sprint("/get/", mode, name, times)
+					was := fresh.seen.Load()
+					for range 5 {
+						if status, err := request(alone, d.addr, strings.ReplaceAll(id, " ", "")); status != 200 {
+							t.Fatalf("%d, %v", status, err)
+						}
+					}
+					if fresh.seen.Load()-was < 5 {
+						t.Errorf("only %d of 5 requests go where the new discovery says, after %d calls", fresh.seen.Load()-was, calls.Load())
+					}
+				})
+			}
+		}
+	}
+}
