Go on serving when nobody reads the log

Cause: SIGPIPE of a write to standard error ended the process (serve.go did not ignore it).

Change: it is ignored; the line is lost.

Seen: TestLogThatCannotBeWritten passes, with a broken pipe from the start, and writes that fail with ENOSPC.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -19,6 +19,7 @@
 	// From the first moment to the program's last: unheeded it would end the program with a signal.
 	replaced := make(chan os.Signal, 1)
 	signal.Notify(replaced, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more loses its lines, and no more than that
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	cfg, err := listening.Retry(stop, nil, source.Load)
