Play drawn faults of calls, clocks, signals and crowds in the lab: a soak by seeds

Need: the lab's clients and kills were not at the clauses' extremes; a client sent again what an agent had read; failing system calls, stepped wall clocks, SIGHUP and crowds were not played beside each other.

Change: faults reload, wall, fail and crowd, signals in series after a SIGTERM, the kill at its earliest (min, not max, of the longest deadline and 3 s). A request that has reached a backend is not sent again: its connection's end is a broken answer. Two rules more: nothing is sent for a client that has ended (0.1 s), and a backend is told of no more than is left (0.15 s).

Seen: the checkers find stand-ins that read and close, send after the end and overstate, in a run each. The stand-ins no longer pass X-Expires-In on: they wait for connections and don't reckon with that, which the new rule took for what it is.

--- a/internal/lab/addr.go
+++ b/internal/lab/addr.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -30,7 +31,12 @@
 		n := firstBlock + (start+i)%(lastBlock-firstBlock+1)
 		ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:%d", n, claimPort))
 		if err == nil {
-			return &block{n, ln}, nil
+			b := &block{n, ln}
+			if !b.inUse() {
+				return b, nil
+			}
+			b.close()
+			continue
 		}
 		if !errors.Is(err, syscall.EADDRINUSE) {
 			return nil, err
@@ -39,6 +45,28 @@
 	return nil, errors.New("every block of loopback addresses is taken by another lab")
 }
 
+// inUse reports whether a process listens in the block besides the lab: an agent that a lab has left behind.
+func (b *block) inUse() bool {
+	const listens, bound = "0A", "07" // a TCP socket, a UDP one
+	for name, state := range map[string]string{"tcp": listens, "udp": bound} {
+		table, err := os.ReadFile("/proc/self/net/" + name)
+		if err != nil {
+			continue // what is in use shows at the first bind
+		}
+		for line := range strings.Lines(string(table)) {
+			fields := strings.Fields(line)
+			if len(fields) < 4 || fields[3] != state {
+				continue
+			}
+			at, ok := kernelAddress([]byte(fields[1]))
+			if ip := at.Addr().As4(); ok && ip[0] == 127 && int(ip[1]) == b.n && at.Port() != claimPort {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (b *block) close() { b.claim.Close() }
 
 // agent is the address of agent n itself.
--- a/internal/lab/backends.go
+++ b/internal/lab/backends.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -143,8 +144,9 @@
 	conn   *backendConn
 	came   time.Duration
 	reply  chan answer
-	gone   bool // its connection is closed
-	known  bool // a client of the lab sent it
+	stated time.Duration // that the agent says it will wait; below 0: it says nothing
+	gone   bool          // its connection is closed
+	known  bool          // a client of the lab sent it
 }
 
 type answer struct {
@@ -162,7 +164,10 @@
 	if err != nil {
 		return // the connection ended before the request's last byte: it never came
 	}
-	a := &attempt{id: r.Header.Get("X-Trace-Id"), host: h, agent: c.agent, conn: c, reply: make(chan answer, 1)}
+	a := &attempt{id: r.Header.Get("X-Trace-Id"), host: h, agent: c.agent, conn: c, reply: make(chan answer, 1), stated: -1}
+	if s, err := strconv.ParseFloat(r.Header.Get("X-Expires-In"), 64); err == nil {
+		a.stated = seconds(s)
+	}
 	l := h.lab
 	l.mu.Lock()
 	now := l.now()
@@ -241,7 +246,7 @@
 	}
 	if !probe {
 		a.known = l.check.Arrive(now, check.Arrival{Attempt: a.number, ID: a.id, Agent: a.agent, Backend: h.m.ID,
-			Cell: h.m.Cell, Print: print, Came: a.came})
+			Cell: h.m.Cell, Print: print, Came: a.came, Stated: a.stated})
 	}
 	switch {
 	case probe:
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -44,6 +44,8 @@
 	RuleDrain     = "drain"     // nothing new to a backend told to drain or gone
 	RuleCold      = "cold"      // no cold backend pushed over
 	RuleUnsent    = "unsent"    // nothing reaches a backend that no client sent
+	RuleGone      = "gone"      // no attempt for a client that has its answer or has gone
+	RuleDeadline  = "deadline"  // a backend is told of no more time than the client has left
 )
 
 // Violation is one broken rule.
@@ -255,8 +257,15 @@
 	Cell    int
 	Print   uint64
 	Came    time.Duration // when it was sent, if the network has held it up since
+	Stated  time.Duration // how long the agent will wait, as it says; below 0: it doesn't say
 }
 
+// Slack that the rules leave beside the sockets'.
+const (
+	goneSlack     = 100 * time.Millisecond
+	deadlineSlack = 150 * time.Millisecond
+)
+
 // Arrive checks an attempt and reports whether the backend is to take it. A visitor's has no record.
 func (c *Checker) Arrive(now time.Duration, a Arrival) (known bool) {
 	r := c.requests[a.ID]
@@ -277,6 +286,13 @@
 	if a.Agent != r.Agent {
 		c.breaks(RuleUnsent, now, a.Agent, r, "agent %d sent on a request of agent %d", a.Agent, r.Agent)
 	}
+	excused := c.excusedIn(r.Agent, r.Sent, a.Came)
+	if r.over && a.Came > r.ended+goneSlack+c.rules.Slack && !excused {
+		c.breaks(RuleGone, now, a.Agent, r, "sent to %s %v after the client's end", a.Backend, (a.Came - r.ended).Round(time.Millisecond))
+	}
+	if left := r.Sent + r.GiveUp - a.Came; r.taken && a.Stated > 0 && a.Stated > left+deadlineSlack+c.rules.Slack && !excused {
+		c.breaks(RuleDeadline, now, a.Agent, r, "%s is told of %v, the client has %v left", a.Backend, a.Stated, left)
+	}
 	class := c.rules.Classes[r.Class]
 	if before := r.risk(); before != nil {
 		switch {
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -32,6 +32,12 @@
 	}
 }
 
+func stated(at, left time.Duration) step {
+	return func(c *Checker) {
+		c.Arrive(at, Arrival{ID: "r", Agent: 1, Backend: "x", Print: 7, Came: at, Stated: left})
+	}
+}
+
 func reply(at time.Duration, backend string, never bool) step {
 	return func(c *Checker) { c.Reply(at, "r", backend, "answers", never) }
 }
@@ -86,6 +92,10 @@
 		{"that nobody sent", RuleUnsent, []step{arrive(ms, "x", 0)}},
 		{"changed on the way", RuleUnsent, []step{open(0, 2), func(c *Checker) { c.Arrive(ms, Arrival{ID: "r", Agent: 1, Backend: "x", Print: 8}) }}},
 		{"through another agent", RuleUnsent, []step{open(0, 2), func(c *Checker) { c.Arrive(ms, Arrival{ID: "r", Agent: 2, Backend: "x", Print: 7}) }}},
+		{"after its end", RuleGone, []step{open(0, 0), end(100*ms, Left), arrive(200*ms+slack+ms, "x", 0)}},
+		{"at its end", "", []step{open(0, 0), end(100*ms, Left), arrive(200*ms+slack, "x", 0)}},
+		{"told of more than is left", RuleDeadline, []step{open(0, 0), stated(500*ms, 500*ms+150*ms+slack+ms)}},
+		{"told of what is left, and the slack", "", []step{open(0, 0), stated(500*ms, 500*ms+150*ms+slack), end(600*ms, Served)}},
 		{"pushed over", RuleCold, []step{func(c *Checker) { c.Fell(ms, "x", 0.7) }}},
 		{"pushed over by agents that could not know", "", []step{func(c *Checker) { c.Fell(ms, "x", 0.6) }}},
 	} {
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -298,13 +298,23 @@
 		} else {
 			c.Close()
 		}
-		if answer == check.ClosedNew && used {
+		if answer == check.ClosedNew && used && !l.wasRead(id) {
 			continue // the agent closed it between requests
 		}
+		if answer == check.ClosedNew && l.wasRead(id) {
+			answer = check.Closed // it has read the request, and owes an answer
+		}
 		return answer, wait
 	}
 }
 
+// wasRead reports whether the agent has read a request: it has sent it on.
+func (l *Lab) wasRead(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check.Attempts(id) > 0
+}
+
 var writers = sync.Pool{New: func() any { return new([]byte) }}
 
 // on writes the request on a connection and reads the answer.
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -94,6 +94,40 @@
 	return nil
 }
 
+// move has an agent's copy answer at another address from now on. The old one takes no new connection, and closes its open
+// ones after a while. The lab's lock is held.
+func (d *discovery) move(n int, now time.Duration) error {
+	gate, server := d.gates[n], d.servers[n]
+	if err := d.open(d.lab.block.world(n), party(link.Agent, n), n); err != nil {
+		return err
+	}
+	last := len(d.gates) - 1
+	d.gates[n], d.servers[n] = d.gates[last], d.servers[last]
+	d.gates[last], d.servers[last] = gate, server // closed with the lab in any case
+	d.lab.running.Go(func() { gate.Close() })
+	d.lab.at(now+oldAddressKept, func(time.Duration) { d.lab.running.Go(func() { server.Close() }) })
+	return nil
+}
+
+const (
+	oldAddressKept  = 1500 * time.Millisecond
+	toldAfterReload = 4 * time.Second // what the new address has to tell counts as told by then
+	reloadSpared    = time.Second     // of a process's life, without a SIGHUP
+)
+
+// toldBy counts as told what a copy had at a time, but for what has changed since.
+func (d *discovery) toldBy(n int, upTo int64, now time.Duration) {
+	latest := map[*host]int{}
+	for i, c := range d.changes {
+		latest[c.host] = i
+	}
+	for i, c := range d.changes[:min(int(upTo-d.base), len(d.changes))] {
+		if latest[c.host] == i {
+			d.lab.check.Tell(now, n, c.host.m.ID, c.state != "ready", c.started)
+		}
+	}
+}
+
 func (d *discovery) addr(caller int) string { return d.gates[caller].Addr().String() }
 
 func (d *discovery) close() {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -124,6 +124,12 @@
 		l.zoneLost(f, now)
 	case scenario.Kill, scenario.Term, scenario.Stop:
 		l.processes(i, f, now)
+	case scenario.Reload:
+		l.reload(i, f, now)
+	case scenario.Wall, scenario.Fail:
+		l.inject(i, f, now)
+	case scenario.Crowd:
+		l.crowd(i, f, now)
 	case scenario.Replace, scenario.Drain:
 		l.inSteps(f, now, l.pickHosts(i, f.Who), func(h *host, now time.Duration) { l.drain(h, now, f.What == scenario.Replace) })
 	case scenario.Bad:
@@ -451,8 +457,8 @@
 // pauseSlack is the time in which a process that goes on answers what has come meanwhile.
 const pauseSlack = 200 * time.Millisecond
 
-// killAfter is how long the platform waits after SIGTERM, past the longest deadline.
-const killAfter = 700 * time.Millisecond
+// killAfter is how long the platform waits after SIGTERM at least, past the longest deadline, of which so much counts at most.
+const killAfter, longestCounted = 700 * time.Millisecond, 3 * time.Second
 
 // finish ends a process, and starts it anew if wanted. The lock is held.
 func (l *Lab) finish(p *process, f *scenario.Fault, now time.Duration, sig syscall.Signal) {
@@ -463,9 +469,10 @@
 		return
 	}
 	if sig == syscall.SIGTERM {
-		l.at(now+max(l.longest(), 3*time.Second)+killAfter, func(time.Duration) {
+		l.at(now+min(l.longest(), longestCounted)+killAfter, func(time.Duration) {
 			_ = cmd.Process.Kill() // ended already if it fails
 		})
+		l.signalOn(cmd, now, f.Series)
 	}
 	l.running.Go(func() {
 		select {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -120,6 +120,9 @@
 		{"never-answers", small, Broken, check.RuleAnswer},
 		{"answers-late", small, Broken, check.RuleAnswer},
 		{"forges", small, Broken, check.RuleAnswer},
+		{"reads-and-closes", small, Broken, check.RuleAnswer},
+		{"sends-after-the-end", small, Broken, check.RuleGone},
+		{"overstates", small, Broken, check.RuleDeadline},
 		{"invents", small, Broken, check.RuleUnsent},
 		{"rewrites", small, Broken, check.RuleUnsent},
 		{"ignores-lists", small + drains, Broken, check.RuleDrain},
@@ -136,6 +139,9 @@
 			if c.rule != "" && r.Rules.ByRule[c.rule] == 0 {
 				t.Errorf("broken rules: %v, want %s", r.Rules.ByRule, c.rule)
 			}
+			if c.mode == "reads-and-closes" && r.Rules.ByRule[check.RuleDuplicate] > 0 {
+				t.Errorf("the client sends again what the agent has read: %v", r.Rules.ByRule)
+			}
 			if c.mode == "repeats-in-pod" && r.Attempts <= 1 {
 				t.Errorf("%v attempts a request: nothing was repeated", r.Attempts)
 			}
@@ -426,3 +432,30 @@
 		t.Error("it is not linked with the agent")
 	}
 }
+
+// A block in which somebody listens is passed over.
+func TestBlockInUse(t *testing.T) {
+	b, err := claimBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.close()
+	for _, left := range []func() (interface{ Close() error }, error){
+		func() (interface{ Close() error }, error) { return net.Listen("tcp4", b.agent(3)+":0") },
+		func() (interface{ Close() error }, error) { return net.ListenPacket("udp4", b.agent(2)+":0") },
+	} {
+		s, err := left()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, err := claimBlock()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if other.n == b.n {
+			t.Errorf("block %d is claimed, in which a socket is bound", b.n)
+		}
+		other.close()
+		s.Close()
+	}
+}
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"brookferry/internal/lab/inject"
 	"brookferry/internal/lab/rng"
 )
 
@@ -32,10 +33,12 @@
 	// The lab's lock guards these.
 	cmd      *exec.Cmd
 	starts   int
-	up       bool          // answers as ready
-	since    time.Duration // up since
-	expected bool          // its end was asked for
-	ended    chan struct{} // closed once the present process has ended
+	control  inject.Control // of a program that package inject has built
+	plan     inject.Plan    // in force there
+	up       bool           // answers as ready
+	since    time.Duration  // up since
+	expected bool           // its end was asked for
+	ended    chan struct{}  // closed once the present process has ended
 	usage    Usage
 }
 
@@ -84,6 +87,7 @@
 	ip := l.block.agent(n)
 	a := &agent{n: n, plays: map[string]*play{}, listen: net.JoinHostPort(ip, strconv.Itoa(clientPort)), peerListen: net.JoinHostPort(ip, strconv.Itoa(peerPort))}
 	a.process = process{lab: l, role: a, what: "agent", name: name, dir: filepath.Join(l.Dir, name), since: -1}
+	a.control.Path = filepath.Join(a.dir, "INJECT.json")
 	return a
 }
 
@@ -127,14 +131,15 @@
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(a.dir, "config.json")
-	if err := os.WriteFile(file, config, 0o644); err != nil {
+	if err := os.WriteFile(a.configFile(), config, 0o644); err != nil {
 		return err
 	}
-	return a.launch(l.Agent, append([]string{"TMPDIR=" + tmp, "PROXY_CONFIG=" + file, "PROXY_NAME=" + a.name, "PROXY_LISTEN=" + a.listen,
-		"PROXY_DISCOVERY=" + l.disc.addr(a.n)}, l.Env...))
+	return a.launch(l.Agent, append([]string{"TMPDIR=" + tmp, "PROXY_CONFIG=" + a.configFile(), "PROXY_NAME=" + a.name, "PROXY_LISTEN=" + a.listen,
+		"PROXY_DISCOVERY=" + l.disc.addr(a.n), inject.ControlVariable + "=" + a.control.Path}, l.Env...))
 }
 
+func (a *agent) configFile() string { return filepath.Join(a.dir, "config.json") }
+
 // launch runs a command line as the process, with a bare environment and more. The lock is held.
 func (p *process) launch(command, env []string) error {
 	l := p.lab
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -149,6 +149,12 @@
 	Restart string          `toml:"restart"` // "empty", "kept", "never"
 	Steps   int             `toml:"steps"`   // in so many equal parts over For
 	Text    string          `toml:"text"`    // a policy, or settings
+	Series  int             `toml:"series"`  // further signals of a term: SIGHUP and SIGTERM in turn
+	Step    strict.Duration `toml:"step"`    // of the wall clock, in whole seconds; back after For
+	Call    string          `toml:"call"`    // the system call that fails, as package inject names it
+	Errno   int             `toml:"errno"`   // with what
+	Path    string          `toml:"path"`    // on files whose name holds this; "": any
+	Times   int             `toml:"times"`   // so often; 0: for all of For
 }
 
 // What a schedule may hold.
@@ -172,11 +178,15 @@
 	Power       = "power"       // a zone's agents and backends end at once and come back together
 	Policy      = "policy"      // a residency policy is given to those of Who that are its sources
 	Settings    = "settings"    // settings of all agents are given to those hubs of Who that are their sources
+	Reload      = "reload"      // discovery moves to another address: a new configuration and SIGHUP
+	Wall        = "wall"        // agents' wall clocks are stepped; needs an agent that package inject has built
+	Fail        = "fail"        // agents' system calls fail; the same
+	Crowd       = "crowd"       // Size idle clients hold connections to each agent, and come again when they are sent away
 	restartNone = "never"
 )
 
 var kinds = []string{Link, Kill, Term, Stop, ZoneLost, ZoneCut, ZoneDeaf, Replace, Drain, Bad, Slow, Neighbour, Burst,
-	ListSilent, ListAway, ListRewind, Power, Policy, Settings}
+	ListSilent, ListAway, ListRewind, Power, Policy, Settings, Reload, Wall, Fail, Crowd}
 
 // Default is a calm day: what a scenario does not say.
 func Default() Scenario {
@@ -369,6 +379,10 @@
 		if p, _ := ParseSet(f.Who); p.Kind != "agents" && p.Kind != "hubs" {
 			return s.wrong(key("who"), "%q is no set of agents or hubs", f.Who)
 		}
+	case Reload, Wall, Fail, Crowd:
+		if p, _ := ParseSet(f.Who); p.Kind != "agents" {
+			return s.wrong(key("who"), "%q is no set of agents", f.Who)
+		}
 	case Policy:
 		if p, _ := ParseSet(f.Who); s.Shared.Hubs > 0 && p.Kind != "hubs" {
 			return s.wrong(key("who"), "%q is no set of hubs, which are a policy's sources where there are any", f.Who)
--- a/internal/lab/settings.go
+++ b/internal/lab/settings.go
@@ -128,6 +128,9 @@
 
 func (l *Lab) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * l.scale) }
 
+// LongestDeadline is how long the clients of the most patient class wait.
+func (l *Lab) LongestDeadline() time.Duration { return l.longest() }
+
 func (l *Lab) longest() (d time.Duration) {
 	for _, c := range l.kinds {
 		d = max(d, c.deadline)
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,134 @@
+// Package soak draws runs of the lab from seeds: a deployment, and faults of the network, of processes, of system calls and
+// of the wall clock, on agents that package inject has built.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"syscall"
+	"time"
+
+	"brookferry/internal/lab/inject"
+	"brookferry/internal/lab/rng"
+	"brookferry/internal/lab/scenario"
+	"brookferry/internal/strict"
+)
+
+const (
+	length     = 12 * time.Second
+	firstFault = 2 * time.Second // a process is spared signals in its first second
+	lastFault  = 9 * time.Second // the earliest kill comes 3.7 s after a SIGTERM at most
+	fewest     = 4               // faults
+	most       = 7
+)
+
+// draws make one fault each.
+var draws = []func(r *rand.Rand) scenario.Fault{
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Term, Who: someAgents(r), Restart: pick(r, "empty", "kept"), Series: r.IntN(5), For: span(r, 0, 1500)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Kill, Who: someAgents(r), Restart: "empty", After: span(r, 0, 500)}
+	},
+	func(r *rand.Rand) scenario.Fault { return scenario.Fault{What: scenario.Reload, Who: "agents"} },
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Wall, Who: someAgents(r), For: span(r, 200, 3000),
+			Step: strict.Duration(pick(r, 2*time.Second, -2*time.Second, time.Hour, -time.Hour))}
+	},
+	failure(inject.Accept, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.EPERM, syscall.ECONNABORTED, syscall.ENFILE),
+	failure(inject.Connect, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.ECONNABORTED, syscall.EINTR),
+	failure(inject.Socket, syscall.ENOBUFS, syscall.ENFILE, syscall.EMFILE),
+	failure(inject.Write, syscall.ENOBUFS, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EINTR),
+	failure(inject.Read, syscall.ENOBUFS, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EIO),
+	func(r *rand.Rand) scenario.Fault { // of the configuration, in the moment of a SIGHUP
+		return scenario.Fault{What: scenario.Fail, Who: "agents", Call: pick(r, inject.Open, inject.Read), Path: "config.json",
+			Errno: int(pick(r, syscall.ENFILE, syscall.EIO, syscall.EINTR)), Times: 1 + r.IntN(3), For: span(r, 500, 2000)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Crowd, Who: "agents n=0", Size: float64(50 + r.IntN(100)), For: span(r, 1000, 4000)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: pick(r, scenario.Drain, scenario.Replace), Who: share(r, "backends"), For: span(r, 0, 1500), Steps: 1 + r.IntN(3)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: pick(r, scenario.ListSilent, scenario.ListAway), For: span(r, 500, 4000)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Bad, Who: share(r, "backends"), Size: 0.3 + 0.6*r.Float64(), For: span(r, 500, 3000)}
+	},
+	func(r *rand.Rand) scenario.Fault { // backends whose answers don't come, as if they hung
+		return scenario.Fault{What: scenario.Link, From: share(r, "backends"), To: "agents", Cut: true, For: span(r, 300, 2500)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Link, From: "agents", To: share(r, "backends"), Both: true, Reset: true, Lose: 0.2, For: span(r, 300, 2000)}
+	},
+	func(r *rand.Rand) scenario.Fault {
+		return scenario.Fault{What: scenario.Stop, Who: someAgents(r), For: strict.Duration(150 * time.Millisecond)}
+	},
+}
+
+// failure draws a failure of a system call: once, three times in a row, or for a moment.
+func failure(call string, errnos ...syscall.Errno) func(r *rand.Rand) scenario.Fault {
+	return func(r *rand.Rand) scenario.Fault {
+		f := scenario.Fault{What: scenario.Fail, Who: someAgents(r), Call: call, Errno: int(pick(r, errnos...)), Times: pick(r, 1, 3, 0), For: span(r, 1000, 4000)}
+		if f.Times == 0 {
+			f.For = span(r, 20, 80)
+		}
+		return f
+	}
+}
+
+func pick[T any](r *rand.Rand, of ...T) T { return of[r.IntN(len(of))] }
+
+func span(r *rand.Rand, least, most int) strict.Duration {
+	return strict.Duration(time.Duration(least+r.IntN(most-least+1)) * time.Millisecond)
+}
+
+func someAgents(r *rand.Rand) string { return pick(r, "agents", "agents n=0", "agents share=0.5") }
+
+func share(r *rand.Rand, of string) string {
+	return fmt.Sprintf("%s share=%.2f", of, 0.1+0.3*r.Float64())
+}
+
+// Draw is a seed's run.
+func Draw(seed uint64) (*scenario.Scenario, error) {
+	r := rng.New(seed).Stream("soak")
+	s := scenario.Default()
+	s.Name, s.For, s.Settle = fmt.Sprintf("soak-%d", seed), strict.Duration(length), strict.Duration(time.Second)
+	s.Fleet.Agents, s.Fleet.Backends, s.Fleet.Pod = 2+r.IntN(4), 6+r.IntN(5), 2+r.IntN(3)
+	s.Load.Rate, s.Load.Of = float64(60+r.IntN(120)), 0.12+0.4*r.Float64() // work, and with it deadlines, go by both
+	s.Load.Impatient, s.Load.Retries = 0.1*r.Float64(), r.IntN(3)
+	s.Lists.Asked, s.Lists.Indented = r.IntN(3) == 0, r.IntN(2) == 0
+	s.Lists.SilentS = scenario.Range{1, 3}
+	s.Limits.Sockets, s.Limits.Cores, s.Limits.LateMs = pick(r, 128, 256, 768), pick(r, 0.5, 1.0), 60
+	for range fewest + r.IntN(most-fewest+1) {
+		f := pick(r, draws...)(r)
+		f.At = strict.Duration(firstFault + time.Duration(r.Int64N(int64(lastFault-firstFault))))
+		s.Faults = append(s.Faults, f)
+		if f.What == scenario.Fail && f.Path != "" || f.What == scenario.Reload && r.IntN(2) == 0 { // two in a row
+			again := scenario.Fault{What: scenario.Reload, Who: "agents", At: f.At + strict.Duration(50*time.Millisecond)}
+			s.Faults = append(s.Faults, again)
+		}
+	}
+	return &s, s.Check()
+}
+
+// Faults is what a run suffers, in a few words.
+func Faults(s *scenario.Scenario) string {
+	var list []string
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		text := f.What
+		switch f.What {
+		case scenario.Fail:
+			text = fmt.Sprintf("%s %v x%d", f.Call, syscall.Errno(f.Errno), f.Times)
+		case scenario.Wall:
+			text = fmt.Sprintf("wall %v", f.Step.D())
+		case scenario.Term:
+			text = fmt.Sprintf("term+%d", f.Series)
+		}
+		list = append(list, fmt.Sprintf("%s @%.1f", text, f.At.D().Seconds()))
+	}
+	return strings.Join(list, ", ")
+}
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -216,6 +216,10 @@
 		}
 		out.Header = r.Header.Clone()
 		out.Header.Set("X-Trace-Id", id)
+		out.Header.Del("X-Expires-In") // it may wait for a connection, and does not reckon with that
+		if a.mode == "overstates" {
+			out.Header.Set("X-Expires-In", "60")
+		}
 		resp, err := http.DefaultTransport.RoundTrip(out)
 		if err != nil {
 			return http.StatusBadGateway, nil
@@ -254,6 +258,10 @@
 	}
 	status, text := send(s, id, body)
 	switch {
+	case a.mode == "reads-and-closes" && odd:
+		panic(http.ErrAbortHandler)
+	case a.mode == "sends-after-the-end" && odd:
+		time.AfterFunc(300*time.Millisecond, func() { send(s, id, body) })
 	case a.mode == "repeats-in-pod" && odd && r.Header.Get("Idempotency-Key") != "":
 		status, text = send(s, id, body)
 	case a.mode == "leaks-on-repeat" && odd:
