Show that a request that was just read may be closed to make room

Cause, read in the code: makeRoom (waiting.go) looks at how long a connection has waited, not whether a whole request has come on it since; closeIdle looks, but its look and its close are two steps.

--- a/internal/agent/rare_front_test.go
+++ b/internal/agent/rare_front_test.go
@@ -271,3 +271,40 @@
 type halfPipe struct{ net.Conn }
 
 func (halfPipe) CloseWrite() error { return nil }
+
+// A connection on which a request has come whole is not closed to make room, whether the server has seen it or not.
+func TestNoRoomAtTheCostOfARequest(t *testing.T) {
+	for _, seen := range []bool{false, true} {
+		ln := listen(t)
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := newClientConn(far)
+		received := make(chan struct{})
+		go func() { defer close(received); c.receive() }()
+		l := newWaitingConns()
+		l.waiting[c] = waitingIn{since: time.Now().Add(-time.Hour)} // it rests, longer than any other
+		if _, err := io.WriteString(near, "GET /get/x HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "the request to be read", func() bool { return c.reading() && !unread(c.Conn) })
+		if seen {
+			if _, err := c.Read(make([]byte, 100)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		l.makeRoom()
+		if !l.claim(c) {
+			t.Errorf("seen by the server %v: closed", seen)
+		}
+		c.Close()
+		near.Close()
+		<-received
+	}
+}
