Close no connection to make room on which a request has come

Cause: makeRoom did not look at what had come, closeIdle's look and close were two steps (internal/agent/waiting.go).

Change: clientConn looks and closes under its own lock, for both; where a whole request may have come it is left to its answer.

Seen: TestNoRoomAtTheCostOfARequest passes, and internal/agent with -race.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -214,9 +214,17 @@
 // closes the socket.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
-	linger := c.written && !c.ended && !c.closing
+	linger := c.lingers()
 	c.shut()
 	c.mu.Unlock()
+	return c.release(linger)
+}
+
+// lingers reports whether the other side may not have read an answer yet. The lock is held.
+func (c *clientConn) lingers() bool { return c.written && !c.ended && !c.closing }
+
+// release closes the socket, or has the task close it.
+func (c *clientConn) release(linger bool) error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); linger && ok && half.CloseWrite() == nil &&
 		c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) == nil {
 		return nil
@@ -224,12 +232,31 @@
 	return c.Conn.Close()
 }
 
-// abort closes the connection at once.
-func (c *clientConn) abort() {
+// abortUnlessAsked closes the connection at once, unless a whole request may have come. It reports whether it has.
+func (c *clientConn) abortUnlessAsked() bool {
 	c.mu.Lock()
+	if c.mayBeWhole() {
+		c.mu.Unlock()
+		return false
+	}
 	c.shut()
 	c.mu.Unlock()
 	c.Conn.Close()
+	return true
+}
+
+// closeUnlessReading ends the connection, unless part of a request has come. It reports whether it has.
+func (c *clientConn) closeUnlessReading() bool {
+	c.mu.Lock()
+	if c.partRead() {
+		c.mu.Unlock()
+		return false
+	}
+	linger := c.lingers()
+	c.shut()
+	c.mu.Unlock()
+	_ = c.release(linger) // closed by its client already if it fails
+	return true
 }
 
 // shut has this side closed. The lock is held.
@@ -271,9 +298,22 @@
 func (c *clientConn) reading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.ahead) > 0 || c.inside || c.whole > c.done || unread(c.Conn)
+	return c.partRead()
+}
+
+// partRead is reading. The lock is held.
+func (c *clientConn) partRead() bool { return c.mayBeWhole() || c.inside }
+
+// asked reports whether a whole request may have come that has no answer.
+func (c *clientConn) asked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mayBeWhole()
 }
 
+// mayBeWhole is asked: of what the server has not been handed nothing is known. The lock is held.
+func (c *clientConn) mayBeWhole() bool { return len(c.ahead) > 0 || c.whole > c.done || unread(c.Conn) }
+
 // lastByte is when the latest byte came of what was read.
 func (c *clientConn) lastByte() time.Time {
 	c.mu.Lock()
--- a/internal/agent/waiting.go
+++ b/internal/agent/waiting.go
@@ -58,7 +58,7 @@
 	defer l.mu.Unlock()
 	var oldest net.Conn
 	for c, w := range l.waiting {
-		if time.Since(w.since) < leastWait {
+		if r, ok := c.(*clientConn); time.Since(w.since) < leastWait || ok && r.asked() {
 			continue
 		}
 		if o := l.waiting[oldest]; oldest == nil || w.first && !o.first || w.first == o.first && w.since.Before(o.since) {
@@ -68,12 +68,12 @@
 	if oldest == nil {
 		return
 	}
-	delete(l.waiting, oldest)
-	if c, ok := oldest.(*clientConn); ok {
-		c.abort() // its descriptor is wanted now
-	} else {
+	if c, ok := oldest.(*clientConn); !ok {
 		oldest.Close()
+	} else if !c.abortUnlessAsked() { // its descriptor is wanted now
+		return // a request has come in this moment
 	}
+	delete(l.waiting, oldest)
 }
 
 // closeIdle closes the connections on which nothing has come for so long, and nothing lies unread:
@@ -83,13 +83,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c, w := range l.waiting {
-		if r, ok := c.(interface{ reading() bool }); ok && r.reading() {
-			continue // net/http tells of a request only once its header is whole
-		}
 		if w.first && (silent < 0 || time.Since(w.since) < silent) || !w.first && time.Since(w.since) < idle {
 			continue
 		}
+		if r, ok := c.(*clientConn); !ok {
+			c.Close()
+		} else if !r.closeUnlessReading() {
+			continue // net/http tells of a request only once its header is whole
+		}
 		delete(l.waiting, c)
-		c.Close()
 	}
 }
