Show that a successor follows discovery where it was before a replaced configuration

Cause, read in the code: parseConfig has PROXY_DISCOVERY go before the file, and a process that replaces another is started with all else the same: after a SIGHUP the variable names the address that discovery has left.

Seen, real processes: with the variable as at the first start the successor asks a dead address, doesn't use the record's list, and takes clients without one after 3 s.

--- a/cmd/vetchhaven/folder_test.go
+++ b/cmd/vetchhaven/folder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"brookferry/internal/lab/inject"
+	"bytes"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -127,3 +129,59 @@
 		}
 	}
 }
+
+// Upgrades in series, with a second trouble in each: what operators were told yes to holds through all of them, a process that
+// replaces another watches discovery where the replaced configuration says, though its environment is the first one's, and one
+// call takes two back.
+func TestUpgradesInSeries(t *testing.T) {
+	first := freeAddr(t) // where discovery was when the platform started the agent, as the variable says
+	t.Setenv("PROXY_DISCOVERY", "")
+	r := newReplaced(t, inject.Plan{})
+	text, err := os.ReadFile(r.older.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if status, _ := r.older.call(t, "/_backends/detach", detachOne); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	t.Setenv("PROXY_DISCOVERY", first)
+	for round, trouble := range []func(){
+		func() {},
+		func() { // a successor that is killed at once
+			d := deploy(t, r.discovery.addr, inject.Plan{}, r.ln, r.dir)
+			d.awaitCall(t, 6*time.Second, "/_ready", "")
+			d.signal(t, syscall.SIGKILL)
+			_ = d.cmd.Wait()
+		},
+		func() { // a new configuration
+			moved := newCatalog(t, r.discovery.now...)
+			if err := os.WriteFile(r.older.config, bytes.Replace(text, []byte(r.discovery.addr), []byte(moved.addr), 1), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			r.older.signal(t, syscall.SIGHUP)
+			r.discovery = moved
+		},
+		func() { r.older.apply(t, inject.Plan{Wall: -time.Hour}) },
+	} {
+		trouble()
+		if n := r.upgrade(t, inject.Plan{}); n > 0 {
+			t.Fatalf("round %d: %d of 30 requests reach the detached backend", round, n)
+		}
+	}
+	third := newStandIn(t)
+	r.discovery.tell(ready("one", r.one), ready("three", third))
+	await(t, "the new list", 6*time.Second, func() bool {
+		status, _ := request(alone, r.older.addr, "/get/x")
+		return status == 200 && third.seen.Load() > 0
+	})
+	was := r.one.seen.Load()
+	if status, _ := r.older.call(t, "/_backends/attach", detachOne); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	await(t, "the attached backend to be used", 5*time.Second, func() bool {
+		_, _ = request(alone, r.older.addr, "/get/x")
+		return r.one.seen.Load() > was
+	})
+}
