Have a replaced configuration go before the first process's variable in a successor

Cause: parseConfig (internal/agent/config.go) took PROXY_DISCOVERY before the file also in a process that replaces another.

Change: with PROXY_FD the file's discovery goes first, as it does after SIGHUP. Where nothing was replaced the two are the same.

Seen: TestUpgradesInSeries passes: four upgrades in a row, one beside a successor that is killed, one after SIGHUP, one with the clock an hour back; two calls out, one back. It took 324 s to fail before, as the dead address was waited for.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -118,6 +118,11 @@
 	for name, field := range map[string]*string{
 		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
 		"PROXY_MGMT": &c.Mgmt} {
+		// A process that replaces another is started with the first one's variables: where discovery has moved since, the file,
+		// which is replaced then, says so.
+		if name == "PROXY_DISCOVERY" && getenv("PROXY_FD") != "" && *field != "" {
+			continue
+		}
 		if v := getenv(name); v != "" {
 			*field = v
 		}
