Show that a request's time leaves out its wait in the queue of connections

Cause, read in the code: a request's time runs from when its bytes are read off the socket; a connection that can't be accepted at once has them in the kernel.

--- a/cmd/vetchhaven/deadline_test.go
+++ b/cmd/vetchhaven/deadline_test.go
@@ -91,3 +91,27 @@
 		t.Errorf("%d of %d attempts were told of more time than the client has left, by up to %v", over.Load(), attempts.Load(), time.Duration(worst.Load()))
 	}
 }
+
+// The time of a request that has waited in the queue of connections runs from its last byte: here accepting fails for a second.
+func TestDeadlineOfARequestThatWaitedInTheQueue(t *testing.T) {
+	stated := make(chan string, 1)
+	addr := serveHTTP(t, func(_ http.ResponseWriter, r *http.Request) { stated <- r.Header.Get("X-Expires-In") })
+	d := deploy(t, newCatalog(t, listed{ID: "s", Addr: addr, Zone: "a", Kind: "m", State: "ready", Weight: 1}).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: inject.Accept, Errno: syscall.ENOBUFS}}})
+	answered := make(chan int, 1)
+	sent := time.Now()
+	go func() {
+		status, _ := request(alone, d.addr, "/get/x")
+		answered <- status
+	}()
+	time.Sleep(time.Second)
+	d.apply(t, inject.Plan{})
+	left := 5*time.Second - time.Since(sent)
+	if status := <-answered; status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	if s, err := strconv.ParseFloat(<-stated, 64); err != nil || time.Duration(s*float64(time.Second)) > left+150*time.Millisecond {
+		t.Errorf("told of %v s, the client has %v left: %v", s, left, err)
+	}
+}
