Count a request's wait in the queue of connections as time that its client has spent

Cause: the time of a request ran from when its bytes were read off the socket (clientConn.keep), also where accepting had to wait for a descriptor or failed.

Change: the listener notes since when connections may have waited; of one of them the kernel says how long ago its latest data came (TCP_INFO), and so much, at most the listener's wait, is taken off the first request's time.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -8,7 +8,6 @@
 	"sync"
 	"syscall"
 	"time"
-	"unsafe"
 )
 
 // clientConn is a connection of a client. A task of its own is the only one that reads the socket, ahead of the server:
@@ -90,7 +89,7 @@
 	if len(p) > 0 && !c.closing && !c.flooded {
 		if c.flooded = c.awaiting && len(c.ahead)+len(p) > aheadMost; !c.flooded {
 			c.ahead = append(c.ahead, p...)
-			c.came = time.Now()
+			c.came = time.Now().Add(-c.waited())
 			c.begin()
 		}
 	}
@@ -127,6 +126,17 @@
 	}
 }
 
+// waited is how long the latest bytes lay in the kernel before their connection was accepted, as far as that can be told. The
+// lock is held.
+func (c *clientConn) waited() time.Duration {
+	if q, ok := c.Conn.(interface{ Queued() time.Duration }); ok && c.came.IsZero() && q.Queued() > 0 {
+		if info, ok := kernelInfo(c.Conn); ok {
+			return min(q.Queued(), info.lastReceived)
+		}
+	}
+	return 0
+}
+
 // begin notes when a request began to come. The lock is held.
 func (c *clientConn) begin() {
 	if !c.awaiting && c.first.IsZero() {
@@ -343,27 +353,6 @@
 	return nil
 }
 
-// hungUp reports whether the other side has ended its sending, or reset the connection, also behind bytes that nobody has read.
-func hungUp(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	const close, closeWait, lastAck, closing = 7, 8, 9, 11 // of a TCP connection, in the kernel's numbers
-	var state [1]byte                                      // struct tcp_info begins with it
-	size := uint32(len(state))
-	var errno syscall.Errno
-	err = raw.Control(func(fd uintptr) {
-		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
-			uintptr(unsafe.Pointer(&state)), uintptr(unsafe.Pointer(&size)), 0)
-	})
-	return err == nil && errno == 0 && (state[0] == close || state[0] == closeWait || state[0] == lastAck || state[0] == closing)
-}
-
 // unread reports whether bytes lie on a connection that nobody has read.
 func unread(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
--- a/internal/agent/listening/limited.go
+++ b/internal/agent/listening/limited.go
@@ -20,10 +20,12 @@
 	closed  chan struct{}
 	once    sync.Once
 	waiting atomic.Bool
+	since   time.Time // connections may have waited since then; zero: none has. Accept's alone
 }
 
 const (
-	askAgain = 20 * time.Millisecond // for a slot, while none is given back
+	askAgain   = 20 * time.Millisecond // for a slot, while none is given back
+	queueEmpty = time.Millisecond      // an accept that takes longer has waited for somebody to connect
 	// Waits after accepts that failed, doubled from the first to the most. Those who connect meanwhile are in the kernel's queue.
 	retryFirst, retryMost = time.Millisecond, 50 * time.Millisecond
 )
@@ -65,21 +67,36 @@
 		<-l.slots
 		return nil, err
 	}
-	return &limitedConn{TCPConn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+	conn := &Conn{TCPConn: c, release: sync.OnceFunc(func() { <-l.slots })}
+	if !l.since.IsZero() {
+		conn.queued = time.Since(l.since)
+	}
+	return conn, nil
+}
+
+// wait notes that connections may wait in the kernel's queue from now on.
+func (l *Limited) wait() {
+	if l.waiting.Store(true); l.since.IsZero() {
+		l.since = time.Now()
+	}
 }
 
 // accept takes the next connection that can be taken.
 func (l *Limited) accept() (*net.TCPConn, error) {
 	for wait := retryFirst; ; wait = min(2*wait, retryMost) {
+		began := time.Now()
 		c, err := l.AcceptTCP()
 		if err == nil {
+			if time.Since(began) > queueEmpty {
+				l.since = time.Time{}
+			}
 			l.waiting.Store(false)
 			return c, nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
-		l.waiting.Store(true)
+		l.wait()
 		if wait == retryFirst && l.Failed != nil {
 			l.Failed(err)
 		}
@@ -98,7 +115,7 @@
 		return nil
 	default:
 	}
-	l.waiting.Store(true)
+	l.wait()
 	defer l.waiting.Store(false)
 	ask := time.NewTicker(askAgain)
 	defer ask.Stop()
@@ -122,14 +139,19 @@
 	return l.TCPListener.Close()
 }
 
-// limitedConn keeps the methods of a TCP connection: with no CloseWrite, net/http would close at
-// once after a last answer, and a reset could overtake it.
-type limitedConn struct {
+// Conn is a connection that Limited has accepted. It keeps the methods of a TCP connection: with no CloseWrite, net/http
+// would close at once after a last answer, and a reset could overtake it.
+type Conn struct {
 	*net.TCPConn
 	release func()
+	queued  time.Duration
 }
 
-func (c *limitedConn) Close() error {
+// Queued is how long the connection may have waited in the kernel's queue at the most; 0: it was accepted at once.
+func (c *Conn) Queued() time.Duration { return c.queued }
+
+// Close ends the connection and gives its slot back.
+func (c *Conn) Close() error {
 	defer c.release()
 	return c.TCPConn.Close()
 }
