--- a/cmd/vetchhaven/clients_test.go
+++ b/cmd/vetchhaven/clients_test.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -94,3 +96,85 @@
 		})
 	}
 }
+
+// A client that stops anywhere in a request and stays gets an error or a close within 3 s: of its connection, or, where that has
+// served a request before, of the first byte of this one.
+func TestRequestThatStopsAnywhere(t *testing.T) {
+	backend := newStandIn(t)
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	whole := "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\nContent-Length: 30\r\n\r\n" + strings.Repeat("x", 30)
+	chunked := "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n0\r\n\r\n"
+	large := "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 3\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 100000)
+	var clients sync.WaitGroup
+	for _, text := range []string{whole, chunked, large} {
+		for cut := 1; cut < len(text); cut += max(5, len(text)/15) {
+			for _, second := range []bool{false, true} {
+				clients.Go(func() {
+					if took, err := stopAt(d.addr, text[:cut], second); took > 3*time.Second || err != nil {
+						t.Errorf("%q of %d, second %v: %v until an error or a close, %v", text[:min(cut, 60)], len(text), second, took, err)
+					}
+				})
+			}
+		}
+	}
+	clients.Wait()
+}
+
+// stopAt sends the first part of a request, after a whole one if it is the connection's second, and returns how long it takes until
+// something comes back, or the end.
+func stopAt(addr, part string, second bool) (time.Duration, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(c)
+	if second {
+		if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\n\r\n", requests.Add(1)); err != nil {
+			return 0, err
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return 0, err
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return 0, err
+		}
+		time.Sleep(time.Second) // it rests for a while
+	}
+	began := time.Now()
+	if _, err := io.WriteString(c, part); err != nil {
+		return 0, err
+	}
+	_, _ = in.ReadByte() // an error is an end
+	return time.Since(began), nil
+}
+
+// A request with hardly any time left has its final answer at once, also where its backend says nothing.
+func TestHardlyAnyTimeLeft(t *testing.T) {
+	mute := newStandIn(t)
+	mute.took = time.Hour
+	d := deploy(t, newCatalog(t, ready("s", mute)).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	for _, left := range []time.Duration{time.Millisecond, 3 * time.Millisecond, 10 * time.Millisecond, 12 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond} {
+		for range 5 {
+			req, err := http.NewRequest("GET", "http://"+d.addr+"/get/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("X-Trace-Id", fmt.Sprintf("%016x", requests.Add(1)))
+			req.Header.Set("X-Expires-In", fmt.Sprintf("%.4f", left.Seconds()))
+			began := time.Now()
+			resp, err := alone.Do(req)
+			if err != nil {
+				t.Fatalf("%v left: %v", left, err)
+			}
+			resp.Body.Close()
+			if took := time.Since(began); resp.StatusCode == 200 || took > left+100*time.Millisecond {
+				t.Errorf("%v left: %d after %v", left, resp.StatusCode, took)
+			}
+		}
+	}
+}
