Keep an operators' call that has come whole, as a client's request is kept

Cause: the door's connections were plain ones, so that makeRoom could close one whose call had come and which a busy server had not got to (admin.go, waiting.go).

Change: they are read as clients' are, and one on which a call has come keeps its place.

Seen: TestCallThatHasComeKeepsItsPlace, and internal/agent with -race.

--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,8 @@
 	os.Exit(code)
 }
 
+var hosts atomic.Int64 // that freeAddr has given out
+
 func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -53,9 +56,12 @@
 	return cmd, log
 }
 
+// freeAddr is an address that nobody listens at, of a loopback host of its own: elsewhere a connection that is opened meanwhile may
+// take its port.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := hosts.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%30, 1+n/250%250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -23,6 +24,7 @@
 	listener net.Listener
 	server   *http.Server
 	waiting  waitingConns
+	readers  sync.WaitGroup                             // of connections: each ends with its socket
 	record   func(context.Context, handover.Call) error // where a successor finds it; may be nil
 	within   time.Duration                              // an answer is given
 }
@@ -72,10 +74,11 @@
 			a.server.Close()
 		}
 	}()
-	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(clientListener{a.listener, &a.readers}); !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error("the operators' door is shut", "error", err)
 	}
 	<-closed
+	a.readers.Wait()
 }
 
 // calls are the paths that may be called, with their methods.
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -295,3 +295,23 @@
 		t.Errorf("%d descriptors in all parts together, 256 are there", n)
 	}
 }
+
+// A call that has come whole is not closed to make room for others, however late the server gets to it.
+func TestCallThatHasComeKeepsItsPlace(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	a := start(t, withDoor(t, setup{servers: []member{s.member("s")}}))
+	c, err := net.Dial("tcp", a.admin.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	waitFor(t, "the connection", func() bool {
+		a.admin.waiting.mu.Lock()
+		defer a.admin.waiting.mu.Unlock()
+		for conn := range a.admin.waiting.waiting {
+			_, reads := conn.(*clientConn)
+			return reads
+		}
+		return false
+	})
+}
--- a/internal/lab/inject/inject.go
+++ b/internal/lab/inject/inject.go
@@ -126,8 +126,8 @@
 		"time/time.go":                    {{"func Now() Time {\n\tsec, nsec, mono := runtimeNow()\n", "// WallOffset is by how many seconds the wall clock is off.\nvar WallOffset int64\n\nfunc Now() Time {\n\tsec, nsec, mono := runtimeNow()\n\tsec += WallOffset\n"}},
 		"syscall/zsyscall_linux_amd64.go": calls,
 		"internal/runtime/syscall/linux/syscall_linux.go": {{"func EpollCtl(epfd, op, fd int32, event *EpollEvent) (errno uintptr) {\n",
-			"// EpollFailures is how often adding a descriptor fails, with EpollErrno.\nvar EpollFailures, EpollErrno uintptr\n\nfunc EpollCtl(epfd, op, fd int32, event *EpollEvent) (errno uintptr) {\n\tif EpollFailures > 0 && op == 1 {\n\t\tEpollFailures--\n\t\treturn EpollErrno\n\t}\n"}},
-		"syscall/syscall_linux.go": {{"func EpollCreate(size int)", "// Fails says why a system call fails; 0: it is made.\nvar Fails func(call string, fd int, path string) Errno\n\n// FailEpoll has adding descriptors fail.\nfunc FailEpoll(times, errno uintptr) { linux.EpollErrno, linux.EpollFailures = errno, times }\n\nfunc EpollCreate(size int)"}},
+			"// EpollFailures is how often adding a descriptor fails, with EpollErrno.\nvar EpollFailures int32\nvar EpollErrno uintptr\n\nfunc EpollCtl(epfd, op, fd int32, event *EpollEvent) (errno uintptr) {\n\tif EpollFailures > 0 && op == 1 {\n\t\tEpollFailures--\n\t\treturn EpollErrno\n\t}\n"}},
+		"syscall/syscall_linux.go": {{"func EpollCreate(size int)", "// Fails says why a system call fails; 0: it is made.\nvar Fails func(call string, fd int, path string) Errno\n\n// FailEpoll has adding descriptors fail.\nfunc FailEpoll(times, errno uintptr) { linux.EpollErrno, linux.EpollFailures = errno, int32(times) }\n\nfunc EpollCreate(size int)"}},
 	}
 	replace := map[string]string{}
 	for name, list := range patches {
