--- a/cmd/vetchhaven/accept_test.go
+++ b/cmd/vetchhaven/accept_test.go
@@ -1,11 +1,12 @@
 package main
 
 import (
-	"brookferry/internal/lab/inject"
 	"fmt"
 	"syscall"
 	"testing"
 	"time"
+
+	"brookferry/internal/lab/inject"
 )
 
 // errnosOfAccept are those that accept(2) names for a moment, network errors of a connection among them.
--- a/cmd/vetchhaven/folder_test.go
+++ b/cmd/vetchhaven/folder_test.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"brookferry/internal/lab/inject"
 	"bytes"
 	"net"
 	"os"
 	"syscall"
 	"testing"
 	"time"
+
+	"brookferry/internal/lab/inject"
 )
 
 // awaitCall waits until a call is answered with yes.
--- a/cmd/vetchhaven/reload_test.go
+++ b/cmd/vetchhaven/reload_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"brookferry/internal/lab/inject"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -11,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"brookferry/internal/lab/inject"
 )
 
 // After SIGHUP what the new discovery tells counts 4 s later: also where the configuration can't be read at that moment, or is
--- a/cmd/vetchhaven/wall_test.go
+++ b/cmd/vetchhaven/wall_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"brookferry/internal/lab/inject"
 	"bytes"
 	"fmt"
 	"io"
@@ -10,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"brookferry/internal/lab/inject"
 )
 
 // tell has another list hold.
--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -1,9 +1,6 @@
 package agent
 
 import (
-	"brookferry/internal/agent/handover"
-	"brookferry/internal/agent/listening"
-	"brookferry/internal/systime"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +11,10 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"brookferry/internal/agent/handover"
+	"brookferry/internal/agent/listening"
+	"brookferry/internal/systime"
 )
 
 // admin is the operators' door: one call a connection, a 2xx answer is yes, a 4xx or 5xx no.
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"brookferry/internal/agent/listening"
 	"bufio"
 	"context"
 	"fmt"
@@ -15,6 +14,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/listening"
 )
 
 // withDoor is a configuration whose agent has an operators' door.
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"brookferry/internal/agent/handover"
 	"bufio"
 	"context"
 	"errors"
@@ -16,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"brookferry/internal/agent/handover"
 )
 
 // descriptor is a further descriptor of a socket, as a process inherits it.
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"brookferry/internal/agent/listening"
 	"context"
 	"fmt"
 	"log/slog"
@@ -10,6 +9,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/listening"
 )
 
 const maxDatagram = 256 // the protocol's limit; a longer one is not sent
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"brookferry/internal/agent/handover"
 	"bufio"
 	"context"
 	"errors"
@@ -11,6 +10,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"brookferry/internal/agent/handover"
 )
 
 // stopping is an agent that has been told to stop, and still accepts until accept is closed.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"brookferry/internal/agent/listening"
 	"context"
 	"log/slog"
 	"math"
@@ -12,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"brookferry/internal/agent/listening"
 )
 
 // Serve runs the agent that a source describes until SIGTERM.
--- a/internal/fleet/fact/trace.go
+++ b/internal/fleet/fact/trace.go
@@ -1,10 +1,11 @@
 package fact
 
 import (
-	"brookferry/internal/systime"
 	"encoding/json"
 	"io"
 	"sync"
+
+	"brookferry/internal/systime"
 )
 
 // Trace writes a line for each fact used or told, and what else is to be checked from outside, with the time on the wall.
