Play kills between two calls, failing datagram calls, and clock steps while it serves

The record through a kill in place of each of seven calls, in the older process and in the successor; a drain through a folder that fails; recvfrom, sendto, setsockopt, getsockname, fcntl with five errnos, once, three in a row and for 2 s, under 1 s of processor time; listen, setsockopt, getsockname, epoll_ctl at the start, with peers; deadline, silence of a watch and drains under five steps of the clock; ages of records. What was not recorded is recorded without a second call.

--- a/cmd/vetchhaven/accept_test.go
+++ b/cmd/vetchhaven/accept_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -71,12 +74,77 @@
 		{Call: inject.Socket, Errno: syscall.ENFILE, Times: 1},
 		{Call: inject.Bind, Errno: syscall.EADDRNOTAVAIL, Times: 3},
 		{Call: inject.Connect, Errno: syscall.ENETUNREACH, Times: 3},
+		{Call: inject.Listen, Errno: syscall.EADDRINUSE, Times: 3},
+		{Call: inject.Option, Errno: syscall.ENOBUFS, Times: 3},
+		{Call: inject.Name, Errno: syscall.ENOBUFS, Times: 2},
+		{Call: inject.EpollAdd, Errno: syscall.ENOMEM, Times: 3},
 	} {
-		d := deploy(t, discovery.addr, inject.Plan{Failures: []inject.Failure{failure}}, nil, "")
-		awaitAnswer(t, d, 10*time.Second)
+		t.Run(fmt.Sprint(failure.Call, " ", failure.Errno, " ", failure.Path), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, discovery.addr, inject.Plan{Failures: []inject.Failure{failure}}, nil, "", withPeers(t)...)
+			awaitAnswer(t, d, 10*time.Second)
+		})
 	}
 }
 
+// withPeers are the edits by which a program has two peers, itself and one that says nothing.
+func withPeers(t *testing.T) []string {
+	t.Helper()
+	own, other := freeAddr(t), freeAddr(t)
+	return []string{`"settings":{"Balancers":1`, fmt.Sprintf(`"peer_listen":%q,"peers":[%q,%q],"settings":{"Balancers":2,"Me":0`, own, own, other),
+		`"TryLimit":4`, `"TryLimit":4,"Peers":true`}
+}
+
+// Calls on datagrams and options of sockets that fail, once, three times in a row and for 2 s, cost no request its answer, and the
+// processor is not worn out by trying again.
+func TestCallsOnSocketsThatFail(t *testing.T) {
+	backend := newStandIn(t)
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "", withPeers(t)...)
+	awaitReady(t, d.addr)
+	for _, call := range []string{inject.Receive, inject.Send, inject.Option, inject.Name, inject.Descriptor} {
+		for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EHOSTUNREACH, syscall.ECONNREFUSED, syscall.EPERM} {
+			for _, times := range []int{1, 3} {
+				d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: call, Errno: errno, Times: times}}})
+				if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+					t.Errorf("%d x %s %v: %d, %v", times, call, errno, status, err)
+				}
+			}
+		}
+		d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: call, Errno: syscall.ENOBUFS}}})
+		before, began := cpuTime(t, d.cmd.Process.Pid), time.Now()
+		for time.Since(began) < 2*time.Second {
+			if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+				t.Errorf("%s for 2 s: %d, %v", call, status, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if used := cpuTime(t, d.cmd.Process.Pid) - before; used > time.Second {
+			t.Errorf("%s for 2 s: %v of processor time", call, used)
+		}
+	}
+}
+
+// cpuTime is what a process has used of the processor.
+func cpuTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	const user, system, tick = 11, 12, 10 * time.Millisecond
+	sum := time.Duration(0)
+	for _, i := range []int{user, system} {
+		n, err := strconv.Atoi(fields[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += time.Duration(n) * tick
+	}
+	return sum
+}
+
 // awaitAnswer waits until a request is served.
 func awaitAnswer(t *testing.T, d *deployed, within time.Duration) {
 	t.Helper()
--- a/cmd/vetchhaven/folder_test.go
+++ b/cmd/vetchhaven/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -108,10 +109,7 @@
 			if c.during.Failures != nil && c.during.Failures[0].Times == 0 {
 				time.Sleep(3*time.Second - took)
 				r.older.apply(t, inject.Plan{})
-				time.Sleep(2 * time.Second)
-				if status != 200 { // a no: the operator calls again
-					r.older.awaitCall(t, time.Second, "/_backends/detach", detachOne)
-				}
+				time.Sleep(time.Second) // nobody calls again: it is recorded by itself
 			}
 			if n := r.upgrade(t, c.younger); n > 0 {
 				t.Errorf("%d of 30 requests reach the detached backend", n)
@@ -188,3 +186,75 @@
 		return r.one.seen.Load() > was
 	})
 }
+
+// An agent that is drained says so at once and goes on saying so while the call can't be recorded, and its successor is drained
+// once it could be.
+func TestDrainOverAFailingFolder(t *testing.T) {
+	r := newReplaced(t, inject.Plan{})
+	r.older.apply(t, inject.Plan{Failures: []inject.Failure{{Call: inject.Write, Path: "handover.json", Errno: syscall.ENOSPC}}})
+	health := func(d *deployed) int {
+		status, err := request(alone, d.addr, "/_health")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status
+	}
+	if status, _ := r.older.call(t, "/_lameduck/on", ""); status != 503 {
+		t.Errorf("status %d", status)
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if status := health(r.older); status != 503 {
+			t.Fatalf("health says %d after the call", status)
+		}
+	}
+	r.older.apply(t, inject.Plan{})
+	time.Sleep(500 * time.Millisecond)
+	younger := deploy(t, r.discovery.addr, inject.Plan{}, r.ln, r.dir)
+	younger.awaitCall(t, 6*time.Second, "/_ready", "")
+	r.older.signal(t, syscall.SIGTERM)
+	if err := r.older.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	if status := health(younger); status != 503 {
+		t.Errorf("the successor's health says %d", status)
+	}
+}
+
+// A process that is killed between any two calls by which it records leaves a record that holds all that it had said yes to.
+func TestKillBetweenTwoCallsOfARecording(t *testing.T) {
+	for _, at := range []inject.Failure{
+		{Call: inject.Open, Path: "lock"},
+		{Call: inject.Lock, Path: "lock"},
+		{Call: inject.Open, Path: "handover.json"}, // to be read
+		{Call: inject.Read, Path: "handover.json"},
+		{Call: inject.Open, Path: "handover.json.new"},
+		{Call: inject.Write, Path: "handover.json.new"},
+		{Call: inject.Rename, Path: "handover.json"},
+	} {
+		for _, younger := range []bool{false, true} { // in the recording of a call; or in the successor's first one
+			t.Run(fmt.Sprint(at.Call, " ", at.Path, " ", younger), func(t *testing.T) {
+				t.Parallel()
+				r := newReplaced(t, inject.Plan{})
+				if status, _ := r.older.call(t, "/_backends/detach", detachOne); status != 200 {
+					t.Fatalf("status %d", status)
+				}
+				kill := at
+				kill.Kill, kill.Times = true, 1
+				plan := inject.Plan{Failures: []inject.Failure{kill}}
+				if younger {
+					d := deploy(t, r.discovery.addr, plan, r.ln, r.dir)
+					_ = d.cmd.Wait()
+				} else {
+					r.older.apply(t, plan)
+					_, _ = r.older.call(t, "/_backends/detach", `{"target":"two"}`) // no answer, or the save's kill came first
+					_ = r.older.cmd.Wait()
+					r.older = deploy(t, r.discovery.addr, inject.Plan{}, r.ln, r.dir)
+					r.older.awaitCall(t, 6*time.Second, "/_ready", "")
+				}
+				if n := r.upgrade(t, inject.Plan{}); n > 0 {
+					t.Errorf("%d of 30 requests reach the detached backend", n)
+				}
+			})
+		}
+	}
+}
--- a/cmd/vetchhaven/wall_test.go
+++ b/cmd/vetchhaven/wall_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -163,3 +167,78 @@
 		})
 	}
 }
+
+// While it serves, deadlines, the silence of a watch and the grace for drains are spans of real time.
+func TestWallClockStepsWhileItServes(t *testing.T) {
+	for _, steps := range [][]time.Duration{{time.Hour}, {-time.Hour}, {2 * time.Second}, {-2 * time.Second}, {time.Hour, -time.Hour}} {
+		t.Run(fmt.Sprint(steps), func(t *testing.T) {
+			t.Parallel()
+			late := lateness(t)
+			hanging, good := newStandIn(t), newStandIn(t)
+			hanging.took = time.Hour
+			var watches, mute atomic.Int64
+			list := []listed{ready("s", hanging)}
+			var mu sync.Mutex
+			discovery := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+				n := watches.Add(1)
+				mu.Lock()
+				now := list
+				mu.Unlock()
+				_ = json.NewEncoder(w).Encode(map[string]any{"version": n, "full": true, "servers": now})
+				for flush := http.NewResponseController(w); ; {
+					_ = flush.Flush()
+					select {
+					case <-r.Context().Done():
+						return
+					case <-time.After(500 * time.Millisecond):
+						if mute.Load() < n {
+							fmt.Fprintln(w)
+						}
+					}
+				}
+			})
+			d := deploy(t, discovery, inject.Plan{}, nil, "")
+			awaitReady(t, d.addr)
+			step := func() {
+				for _, step := range steps {
+					d.apply(t, inject.Plan{Wall: step})
+				}
+			}
+			req, err := http.NewRequest("GET", "http://"+d.addr+"/get/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("X-Trace-Id", "1")
+			req.Header.Set("X-Expires-In", "1.5")
+			began := time.Now()
+			time.AfterFunc(500*time.Millisecond, step)
+			resp, err := alone.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if took := time.Since(began); took < 1200*time.Millisecond || took > 1600*time.Millisecond+late() {
+				t.Errorf("a request with 1.5 s was answered after %v", took)
+			}
+			// The watch falls silent while the list changes, and the clock is stepped in that silence.
+			mu.Lock()
+			list = []listed{{ID: "s", Addr: hanging.addr, Zone: "a", Kind: "m", State: "draining", Weight: 1}, ready("t", good)}
+			mu.Unlock()
+			d.apply(t, inject.Plan{})
+			mute.Store(watches.Load())
+			silent := time.Now()
+			time.Sleep(time.Second)
+			step()
+			time.Sleep(time.Until(silent.Add(6*time.Second + 400*time.Millisecond)))
+			was := hanging.seen.Load()
+			for range 10 {
+				if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+					t.Errorf("%d, %v", status, err)
+				}
+			}
+			if n := hanging.seen.Load() - was; n > 0 {
+				t.Errorf("%d of 10 requests go to a backend that drains, 6.4 s after the watch fell silent", n)
+			}
+		})
+	}
+}
--- a/internal/agent/handover/store_test.go
+++ b/internal/agent/handover/store_test.go
@@ -227,6 +227,32 @@
 	}
 }
 
+// What a process left is stale once it has not been heard of for long, by real time, and after a restart of the machine.
+func TestStaleRecords(t *testing.T) {
+	clocks := now{boot: time.Hour, wall: time.UnixMilli(1e12)}
+	at := func(boot time.Duration, wall time.Duration) Record {
+		return Record{Turn: 1, SavedAt: boot.Microseconds(), Saved: clocks.wall.Add(wall).UnixMilli()}
+	}
+	for name, c := range map[string]struct {
+		record Record
+		stale  bool
+	}{
+		"fresh":                          {at(time.Hour-time.Second, -time.Second), false},
+		"at the bound":                   {at(time.Hour-longGone, -longGone), false},
+		"past it":                        {at(time.Hour-longGone-time.Second, -longGone-time.Second), true},
+		"fresh, the wall an hour on":     {at(time.Hour-time.Second, -time.Hour), false},
+		"past it, the wall set back":     {at(time.Hour-longGone-time.Second, time.Hour), true},
+		"of another start":               {at(2*time.Hour, -time.Second), true},
+		"of a version before, fresh":     {at(0, -time.Second), false},
+		"of a version before, long gone": {at(0, -time.Hour), true},
+		"none":                           {Record{}, false},
+	} {
+		if _, stale := c.record.stale(clocks); stale != c.stale {
+			t.Errorf("%s: stale %v", name, stale)
+		}
+	}
+}
+
 // A call that is recorded late does not undo one that came after it.
 func TestCallsRecordedLate(t *testing.T) {
 	clocks := now{boot: time.Hour, wall: time.UnixMilli(1e12)}
--- a/internal/lab/inject/inject.go
+++ b/internal/lab/inject/inject.go
@@ -25,16 +25,22 @@
 
 // Names of system calls that a Failure may name.
 const (
-	Accept   = "accept4"
-	Open     = "openat"
-	Read     = "read"
-	Write    = "write"
-	Rename   = "renameat"
-	Lock     = "flock"
-	Connect  = "connect"
-	Socket   = "socket"
-	Bind     = "bind"
-	EpollAdd = "epoll_ctl" // by count alone
+	Accept     = "accept4"
+	Open       = "openat"
+	Read       = "read"
+	Write      = "write"
+	Rename     = "renameat"
+	Lock       = "flock"
+	Connect    = "connect"
+	Socket     = "socket"
+	Bind       = "bind"
+	Listen     = "listen"
+	Receive    = "recvfrom" // of datagrams
+	Send       = "sendto"   // the same
+	Option     = "setsockopt"
+	Name       = "getsockname"
+	Descriptor = "fcntl"
+	EpollAdd   = "epoll_ctl" // by count alone
 )
 
 // Failure makes a system call fail.
@@ -43,6 +49,8 @@
 	Errno syscall.Errno `json:"errno"`
 	Path  string        `json:"path"`  // part of the name of the file; "client:" and an IPv4 address: the other side of a connection; "": any
 	Times int           `json:"times"` // 0: as long as the plan is in force
+	Skip  int           `json:"skip"`  // so many such calls are made before
+	Kill  bool          `json:"kill"`  // in place of the failure the process is killed, with the call not made
 }
 
 // Plan is what a program is to suffer from now on, in place of the plan before.
@@ -100,6 +108,12 @@
 	{Connect, "func connect(s int, addr unsafe.Pointer, addrlen _Socklen) (err error) {", "s", `""`, "err = e"},
 	{Socket, "func socket(domain int, typ int, proto int) (fd int, err error) {", "-1", `""`, "fd, err = -1, e"},
 	{Bind, "func bind(s int, addr unsafe.Pointer, addrlen _Socklen) (err error) {", "s", `""`, "err = e"},
+	{Listen, "func Listen(s int, n int) (err error) {", "s", `""`, "err = e"},
+	{Receive, "func recvfrom(fd int, p []byte, flags int, from *RawSockaddrAny, fromlen *_Socklen) (n int, err error) {", "fd", `""`, "n, err = -1, e"},
+	{Send, "func sendto(s int, buf []byte, flags int, to unsafe.Pointer, addrlen _Socklen) (err error) {", "s", `""`, "err = e"},
+	{Option, "func setsockopt(s int, level int, name int, val unsafe.Pointer, vallen uintptr) (err error) {", "s", `""`, "err = e"},
+	{Name, "func getsockname(fd int, rsa *RawSockaddrAny, addrlen *_Socklen) (err error) {", "fd", `""`, "err = e"},
+	{Descriptor, "func fcntl(fd int, cmd int, arg int) (val int, err error) {", "fd", `""`, "val, err = -1, e"},
 }
 
 //go:embed control.go.txt
