Show that a successor that waits for the record answers no operator

Seen, real processes: a call for readiness has no answer for 5 s, where 1 s is due. Tests besides, from mutants that nothing caught: start times of backends as a table, a call beside a successor whose reads or the older one's writes fail, peers that say something while reads fail, requests that drip, a request that comes between the look and the close.

--- a/cmd/vetchhaven/accept_test.go
+++ b/cmd/vetchhaven/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -81,16 +82,14 @@
 	} {
 		t.Run(fmt.Sprint(failure.Call, " ", failure.Errno, " ", failure.Path), func(t *testing.T) {
 			t.Parallel()
-			d := deploy(t, discovery.addr, inject.Plan{Failures: []inject.Failure{failure}}, nil, "", withPeers(t)...)
+			d := deploy(t, discovery.addr, inject.Plan{Failures: []inject.Failure{failure}}, nil, "", withPeers(freeAddr(t), freeAddr(t))...)
 			awaitAnswer(t, d, 10*time.Second)
 		})
 	}
 }
 
-// withPeers are the edits by which a program has two peers, itself and one that says nothing.
-func withPeers(t *testing.T) []string {
-	t.Helper()
-	own, other := freeAddr(t), freeAddr(t)
+// withPeers are the edits by which a program has two peers: itself, and another.
+func withPeers(own, other string) []string {
 	return []string{`"settings":{"Balancers":1`, fmt.Sprintf(`"peer_listen":%q,"peers":[%q,%q],"settings":{"Balancers":2,"Me":0`, own, own, other),
 		`"TryLimit":4`, `"TryLimit":4,"Peers":true`}
 }
@@ -99,7 +98,17 @@
 // processor is not worn out by trying again.
 func TestCallsOnSocketsThatFail(t *testing.T) {
 	backend := newStandIn(t)
-	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "", withPeers(t)...)
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	own := freeAddr(t)
+	to, err := net.ResolveUDPAddr("udp", own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "", withPeers(own, peer.LocalAddr().String())...)
 	awaitReady(t, d.addr)
 	for _, call := range []string{inject.Receive, inject.Send, inject.Option, inject.Name, inject.Descriptor} {
 		for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EHOSTUNREACH, syscall.ECONNREFUSED, syscall.EPERM} {
@@ -111,6 +120,9 @@
 			}
 		}
 		d.apply(t, inject.Plan{Failures: []inject.Failure{{Call: call, Errno: syscall.ENOBUFS}}})
+		if _, err := peer.WriteTo([]byte("x"), to); err != nil { // so that something is there to be read
+			t.Fatal(err)
+		}
 		before, began := cpuTime(t, d.cmd.Process.Pid), time.Now()
 		for time.Since(began) < 2*time.Second {
 			if status, err := request(alone, d.addr, "/get/x"); status != 200 {
--- a/cmd/vetchhaven/clients_test.go
+++ b/cmd/vetchhaven/clients_test.go
@@ -154,6 +154,39 @@
 	return time.Since(began), nil
 }
 
+// A client that goes on sending a byte now and then is owed the same: of a body that is small, or of a header.
+func TestRequestThatDrips(t *testing.T) {
+	backend := newStandIn(t)
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	late := lateness(t)
+	var clients sync.WaitGroup
+	for _, start := range []string{"POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\nContent-Length: 30\r\n\r\n", "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: "} {
+		for _, every := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond} {
+			clients.Go(func() {
+				c, err := net.Dial("tcp", d.addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				began := time.Now()
+				_ = c.SetDeadline(began.Add(patience))
+				go func() {
+					for _, err := io.WriteString(c, start); err == nil; _, err = io.WriteString(c, "1") {
+						time.Sleep(every)
+					}
+				}()
+				_, _ = c.Read(make([]byte, 1)) // an error is an end
+				if took := time.Since(began); took > 3*time.Second+late() {
+					t.Errorf("%q, a byte every %v: %v until an error or a close", start[:10], every, took)
+				}
+			})
+		}
+	}
+	clients.Wait()
+}
+
 // A request with hardly any time left has its final answer at once, also where its backend says nothing.
 func TestHardlyAnyTimeLeft(t *testing.T) {
 	mute := newStandIn(t)
--- a/cmd/vetchhaven/folder_test.go
+++ b/cmd/vetchhaven/folder_test.go
@@ -258,3 +258,73 @@
 		}
 	}
 }
+
+// A successor that can't read what the older process recorded takes no clients before it can, for a while.
+func TestSuccessorThatCannotReadForLong(t *testing.T) {
+	late := lateness(t)
+	r := newReplaced(t, inject.Plan{})
+	if status, _ := r.older.call(t, "/_backends/detach", detachOne); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	began := time.Now()
+	younger := deploy(t, r.discovery.addr, inject.Plan{Failures: []inject.Failure{{Call: inject.Read, Path: "handover.json", Errno: syscall.EIO}}}, r.ln, r.dir)
+	for time.Since(began) < 3*time.Second {
+		status, took := younger.call(t, "/_ready", "")
+		if status == 200 {
+			t.Fatalf("ready after %v, and knows of no call", time.Since(began))
+		}
+		if status != 0 && took > time.Second+late() { // 0: it does not listen yet
+			t.Errorf("no answer for %v", took)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	younger.apply(t, inject.Plan{})
+	younger.awaitCall(t, time.Until(began.Add(6*time.Second)), "/_ready", "")
+	r.older.signal(t, syscall.SIGTERM)
+	if err := r.older.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	was := r.one.seen.Load()
+	for range 30 {
+		if status, err := request(alone, younger.addr, "/get/x"); status != 200 {
+			t.Errorf("%d, %v", status, err)
+		}
+	}
+	if n := r.one.seen.Load() - was; n > 0 {
+		t.Errorf("%d of 30 requests reach the detached backend", n)
+	}
+}
+
+// A call to the older of two processes holds in the younger, though the older can't write for a while, or the younger's read
+// fails once.
+func TestCallBesideASuccessor(t *testing.T) {
+	for name, c := range map[string]struct{ older, younger inject.Plan }{
+		"older can't write":       {older: inject.Plan{Failures: []inject.Failure{{Call: inject.Write, Path: "handover.json", Errno: syscall.EIO}}}},
+		"younger can't read once": {younger: inject.Plan{Failures: []inject.Failure{{Call: inject.Read, Path: "handover.json", Errno: syscall.EIO, Times: 1}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newReplaced(t, inject.Plan{})
+			younger := deploy(t, r.discovery.addr, inject.Plan{}, r.ln, r.dir)
+			younger.awaitCall(t, 6*time.Second, "/_ready", "")
+			r.older.apply(t, c.older)
+			younger.apply(t, c.younger)
+			_, _ = r.older.call(t, "/_backends/detach", detachOne)
+			r.older.apply(t, inject.Plan{})
+			time.Sleep(200 * time.Millisecond)
+			r.older.signal(t, syscall.SIGTERM)
+			if err := r.older.cmd.Wait(); err != nil {
+				t.Error(err)
+			}
+			was := r.one.seen.Load()
+			for range 30 {
+				if status, err := request(alone, younger.addr, "/get/x"); status != 200 {
+					t.Errorf("%d, %v", status, err)
+				}
+			}
+			if n := r.one.seen.Load() - was; n > 0 {
+				t.Errorf("%d of 30 requests reach the detached backend", n)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/agent/discovery/started_test.go
@@ -0,0 +1,48 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+)
+
+// The latest reading that is not ahead counts; what is told anew is recent, and another start of a backend is a later one.
+func TestStartTimes(t *testing.T) {
+	const now, second = 2 * time.Hour, time.Second
+	wall := time.UnixMilli(1e12)
+	unix := func(ago time.Duration) int64 { return wall.Add(-ago).UnixMilli() }
+	for name, c := range map[string]struct {
+		step   time.Duration // of this machine's clock since the process's start
+		off    time.Duration // of discovery's, ahead of this one's
+		before time.Duration // an earlier start, so long ago; 0: none is known
+		told   int64
+		within time.Duration
+		want   time.Duration
+	}{
+		"long ago":                       {told: 0, want: 0},
+		"as it reads":                    {told: unix(5 * second), want: now - 5*second},
+		"ahead":                          {told: unix(-time.Hour), want: now},
+		"stepped back 2 s with all":      {step: -2 * second, told: unix(3 * second), want: now - 3*second},
+		"stepped back 2 s alone":         {step: -2 * second, told: unix(5 * second), want: now - 5*second},
+		"stepped ahead an hour alone":    {step: time.Hour, told: unix(time.Hour + 5*second), want: now - 5*second},
+		"discovery is an hour behind":    {off: -time.Hour, told: unix(time.Hour + 5*second), want: now - 5*second},
+		"old, in a first list":           {told: unix(time.Minute), want: now - time.Minute},
+		"old, told anew":                 {told: unix(time.Minute), within: 10 * second, want: now},
+		"another start, set back":        {before: 3 * second, told: unix(5 * second), within: 10 * second, want: now - 3*second + 1},
+		"another start":                  {before: time.Minute, told: unix(5 * second), within: 10 * second, want: now - 5*second},
+		"before the agent's clock began": {told: unix(3 * time.Hour), want: 0},
+	} {
+		// What the wall showed at the process's start goes by the unstepped clock.
+		read := clocks{now: now, wall: wall, wallAt: func(at time.Time) time.Duration { return now - wall.Add(-c.step).Sub(at) }}
+		s := startTimes{off: c.off}
+		if c.before > 0 {
+			s.known = map[string]start{"b": {unix(c.before), now - c.before}}
+		}
+		got := s.at("b", c.told, func() clocks { return read }, c.within)
+		if got != c.want {
+			t.Errorf("%s: %v before now, want %v", name, now-got, now-c.want)
+		}
+		if again := s.at("b", c.told, nil, c.within); c.told > 0 && again != got {
+			t.Errorf("%s: the same start is another a moment later", name)
+		}
+	}
+}
--- a/internal/agent/rare_front_test.go
+++ b/internal/agent/rare_front_test.go
@@ -299,6 +299,9 @@
 				t.Fatal(err)
 			}
 		}
+		if c.abortUnlessAsked() || c.closeUnlessReading() { // as if it had come after they looked
+			t.Errorf("seen by the server %v: closed in the moment in which it came", seen)
+		}
 		l.makeRoom()
 		if !l.claim(c) {
 			t.Errorf("seen by the server %v: closed", seen)
