Answer operators while a successor waits for the record

Cause: the door was served after inherit (Agent.Run).

Change: it is served before. A call for readiness is a no until clients are taken, one about a backend a 503 as long as nobody can take it.

Seen: TestSuccessorThatCannotReadForLong passes, with the record unreadable for 3 s: no yes before, a yes within 6 s, the detach holds; and internal/agent with -race.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -118,6 +118,9 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
+	if a.admin != nil { // before what may wait: a call has its answer, if only a no
+		running.Go(func() { a.admin.run(ctx) })
+	}
 	if a.successor != nil {
 		a.inherit(stop)
 	}
@@ -138,9 +141,6 @@
 	if a.loop.peers != nil {
 		running.Go(func() { a.loop.peers.run(heard, a.loop.post) })
 	}
-	if a.admin != nil {
-		running.Go(func() { a.admin.run(ctx) })
-	}
 	if a.admin != nil || a.successor != nil {
 		running.Go(func() { a.front.empty(ctx) })
 	}
