Show that a process that starts after its clock was set back counts as the older one

Cause, read in the code: incarnations of members, agents and hubs are the wall clock's reading at the start (fleet.go, spoke.go, hubd.go).

What agents and hubs trace for the lab is stamped by the clock that all processes of a machine share: a stepped one made the lab take facts for an hour old.

--- a/internal/fleet/fact/trace.go
+++ b/internal/fleet/fact/trace.go
@@ -8,7 +8,7 @@
 	"brookferry/internal/systime"
 )
 
-// Trace writes a line for each fact used or told, and what else is to be checked from outside, with the time on the wall.
+// Trace writes a line for each fact used or told, and what else is to be checked from outside, with the time since the machine's start.
 type Trace struct{ W io.Writer } // nil: none
 
 var traces sync.Mutex
@@ -31,7 +31,7 @@
 	if t.W == nil {
 		return
 	}
-	line["at"] = systime.Wall().UnixMicro()
+	line["at"] = systime.SinceBoot().Microseconds()
 	data, err := json.Marshal(line)
 	if err != nil {
 		panic(err) // it holds names and numbers alone
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -26,6 +26,7 @@
 	"brookferry/internal/lab/link"
 	"brookferry/internal/lab/rng"
 	"brookferry/internal/lab/scenario"
+	"brookferry/internal/systime"
 )
 
 // Options say what to play.
@@ -46,8 +47,9 @@
 type Lab struct {
 	Options
 	block *block
-	base  time.Time    // when the lab was made
-	begun atomic.Int64 // when its time began to count, after base, ns
+	base  time.Time     // when the lab was made
+	boot  time.Duration // the same, since the machine's start
+	begun atomic.Int64  // when its time began to count, after base, ns
 	rng   rng.Source
 	scale float64 // of work and of every time that goes with it
 	kinds []class
@@ -132,6 +134,11 @@
 // wall is a time of the run by the clock that every machine reads.
 func (l *Lab) wall(t time.Duration) time.Time { return l.base.Add(time.Duration(l.begun.Load()) + t) }
 
+// traceTime is a time of the run as the lines have it that agents and hubs write: in microseconds since the machine's start.
+func (l *Lab) traceTime(t time.Duration) int64 {
+	return (l.boot + time.Duration(l.begun.Load()) + t).Microseconds()
+}
+
 // at puts something on the agenda. The lock is held.
 func (l *Lab) at(t time.Duration, do func(now time.Duration)) {
 	l.seq++
@@ -251,7 +258,7 @@
 	if err := os.MkdirAll(l.Dir, 0o755); err != nil {
 		return err
 	}
-	l.base = time.Now()
+	l.base, l.boot = time.Now(), systime.SinceBoot()
 	l.machines()
 	l.classes()
 	l.check = check.New(check.Rules{Classes: l.checkClasses(), DrainGrace: drainGrace, Answer: answerSlack, Slack: socketSlack,
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -205,7 +205,7 @@
 	name := func(x *traceLine) string {
 		return fmt.Sprint(x.Kind, " ", x.Observer, " ", x.Subject, " ", x.Incarnation, " ", x.Seq)
 	}
-	begin := l.wall(0).UnixMicro()
+	begin := l.traceTime(0)
 	var parts []partAt
 	var errors []float64
 	var uses []traceLine
@@ -277,7 +277,7 @@
 // sumOfParts is the greatest sum of the parts that living processes had at a time after the run's begin.
 func (l *Lab) sumOfParts(parts []partAt, begin int64) (most float64) {
 	for _, d := range l.downs { // a process that ended has no part
-		parts = append(parts, partAt{l.wall(d.at).UnixMicro(), d.agent, 0})
+		parts = append(parts, partAt{l.traceTime(d.at), d.agent, 0})
 	}
 	slices.SortStableFunc(parts, func(a, b partAt) int { return int(a.at - b.at) })
 	now, sum := map[int]float64{}, 0.0
@@ -302,7 +302,7 @@
 // matrixErrors holds a matrix against what datagrams took between the zones of late, both ways: as a share of it, or of
 // 2 ms where that is less. Where the ways have changed of late it says nothing. The lock is held.
 func (l *Lab) matrixErrors(at int64, m map[string]float64) (list []float64) {
-	t := time.Duration(at-l.wall(0).UnixMicro()) * time.Microsecond
+	t := time.Duration(at-l.traceTime(0)) * time.Microsecond
 	for _, c := range l.changed {
 		if t >= c && t < c+settled {
 			return nil
--- /dev/null
+++ b/internal/lab/soak/fleet_test.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab"
+	"brookferry/internal/lab/inject"
+	"brookferry/internal/lab/scenario"
+	"brookferry/internal/strict"
+)
+
+// A process that starts after its machine's clock was set back is the later one of its name all the same: the others take what
+// it tells within the time that a fact takes to get round, not only once those of the process before are too old.
+func TestRestartAfterTheClockWasSetBack(t *testing.T) {
+	const getsRound = 1500 * time.Millisecond // a fact is told each second
+	program, err := inject.Build(t.Context(), "../../..", "./cmd/martenbeam", t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := scenario.Default()
+	s.Name, s.For, s.Settle = "set-back", strict.Duration(10*time.Second), strict.Duration(time.Second)
+	s.Fleet.Agents, s.Fleet.Backends, s.Load.Rate, s.Load.Of = 3, 6, 60, 0.2
+	s.Shared.On, s.Shared.Matrix, s.Limits.LateMs = true, true, 60000
+	s.Faults = []scenario.Fault{
+		{What: scenario.Wall, Who: "agents n=0", At: strict.Duration(4 * time.Second), Step: strict.Duration(-time.Hour)},
+		{What: scenario.Kill, Who: "agents n=0", At: strict.Duration(5 * time.Second), Restart: "kept"},
+	}
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	l, err := lab.New(lab.Options{Scenario: &s, Seed: 1, Agent: []string{program, "agent"}, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r, err := l.Run(t.Context())
+	if err != nil || r.Verdict != lab.Kept {
+		t.Fatalf("%v, %+v", err, r)
+	}
+	told, used := firstTimes(t, filepath.Join(dir, "n0"), "tell"), firstTimes(t, filepath.Join(dir, "n1"), "use")
+	later := uint64(0) // the process that told last
+	for incarnation, at := range told {
+		if later == 0 || at > told[later] {
+			later = incarnation
+		}
+	}
+	if used[later] == 0 || len(told) < 2 {
+		t.Fatalf("nothing that the process after the restart told was used: told %v, used %v", told, used)
+	}
+	if took := time.Duration(used[later]-told[later]) * time.Microsecond; took > getsRound {
+		t.Errorf("what the later process told was first used after %v", took)
+	}
+}
+
+// firstTimes are when an agent first wrote that it told, or used, what a process named n0 told, by its incarnation.
+func firstTimes(t *testing.T, dir, what string) map[uint64]int64 {
+	t.Helper()
+	f, err := os.Open(filepath.Join(dir, "fleet.trace"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	first := map[uint64]int64{}
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		var line struct {
+			At             int64
+			What, Observer string
+			Incarnation    uint64
+		}
+		if json.Unmarshal(lines.Bytes(), &line) != nil {
+			continue // cut off by the kill
+		}
+		if line.What == what && line.Observer == "n0" && first[line.Incarnation] == 0 {
+			first[line.Incarnation] = line.At
+		}
+	}
+	return first
+}
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -17,6 +17,7 @@
 
 	product "brookferry/internal/agent"
 	"brookferry/internal/membership"
+	"brookferry/internal/systime"
 )
 
 // TestMain lets the test binary stand in for an agent's program: the real agent, or one that is broken in a
@@ -55,7 +56,6 @@
 	mu   sync.Mutex
 	list map[string]member
 	n    int
-	born time.Time
 	kept bool // it has run before, with the same files
 }
 
@@ -77,7 +77,7 @@
 	if err := json.Unmarshal(text, &config); err != nil {
 		panic(err)
 	}
-	a := &brokenAgent{mode: mode, list: map[string]member{}, born: time.Now()}
+	a := &brokenAgent{mode: mode, list: map[string]member{}}
 	before := filepath.Join(os.Getenv("TMPDIR"), "before")
 	_, err = os.Stat(before)
 	a.kept = err == nil
@@ -128,8 +128,9 @@
 
 // trace writes what an agent shares: that it used what was told 4 s before, or took half of the limit, as its mode says.
 func (a *brokenAgent) trace(file string) {
-	fact := func(what string, at time.Time) string {
-		return fmt.Sprintf(`{"at":%d,"what":%q,"kind":"distance","observer":"x","subject":"y","incarnation":1,"seq":1}`+"\n", at.UnixMicro(), what)
+	born := systime.SinceBoot()
+	fact := func(what string, at time.Duration) string {
+		return fmt.Sprintf(`{"at":%d,"what":%q,"kind":"distance","observer":"x","subject":"y","incarnation":1,"seq":1}`+"\n", at.Microseconds(), what)
 	}
 	text, old := "", time.Second
 	part := 0.3
@@ -139,7 +140,7 @@
 	case "takes-two-parts":
 		part = 0.5
 	}
-	text += fact("tell", a.born.Add(-old)) + fact("use", a.born) + fmt.Sprintf(`{"at":%d,"part":%v}`+"\n", a.born.UnixMicro(), part)
+	text += fact("tell", born-old) + fact("use", born) + fmt.Sprintf(`{"at":%d,"part":%v}`+"\n", born.Microseconds(), part)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
--- a/internal/systime/systime_test.go
+++ b/internal/systime/systime_test.go
@@ -19,7 +19,6 @@
 	"internal/fleet/fleet.go":             "orders the processes of one name over a restart of the machine",
 	"internal/fleet/spoke/spoke.go":       "the same",
 	"internal/hubd/hubd.go":               "the same",
-	"internal/fleet/fact/trace.go":        "a line's time in a trace",
 	"internal/fleet/spoke/door.go":        "a deadline that is past at any time",
 	"internal/fleet/spoke/stream.go":      "the same",
 }
