Have a later process count as the later, also after its clock was set back

Cause: incarnations were the wall clock's reading alone.

Change: internal/fleet/incarnation numbers the processes of a name: the clock's reading, and above the one before, kept by internal/versioned in the state folder that is configured, else beside the temporary files.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,11 +25,11 @@
 
 	"brookferry/internal/fleet/distance"
 	"brookferry/internal/fleet/fact"
+	"brookferry/internal/fleet/incarnation"
 	"brookferry/internal/fleet/member"
 	"brookferry/internal/fleet/start"
 	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
-	"brookferry/internal/systime"
 )
 
 // Config is a process's place in its fleet.
@@ -41,9 +41,10 @@
 	Most                int  // most processes that the fleet has
 	Await               bool // Listen may be held by an older process of this agent
 	Bounds              fact.Bounds
-	Relayed             bool    // lists come by way of a few members of a site
-	ListRate            float64 // calls a second that the list service is taken to bear at first
-	Matrix              bool    // round trips are measured, and told
+	Relayed             bool               // lists come by way of a few members of a site
+	ListRate            float64            // calls a second that the list service is taken to bear at first
+	Matrix              bool               // round trips are measured, and told
+	Incarnations        incarnation.Source // numbers the processes of the name
 	Log                 *slog.Logger
 	Trace               io.Writer // a line for each fact used or told, and for each part taken; nil: none
 
@@ -111,11 +112,11 @@
 		cfg.Calls = http.NotFoundHandler()
 	}
 	f := &Fleet{cfg: cfg, texts: cfg.shared(), told: told, zones: zones, turn: make(chan struct{}, 1), born: cmp.Or(cfg.Since, time.Now()), part: -1}
-	incarnation := uint64(systime.Wall().UnixMilli()) // orders the processes of one name; a clock set back costs a fact's bound
-	f.facts = fact.New(cfg.Name, incarnation, cfg.Bounds, f.traceUse)
+	number := cfg.Incarnations.Next()
+	f.facts = fact.New(cfg.Name, number, cfg.Bounds, f.traceUse)
 	f.relay = newRelay(f)
 	f.list, err = member.New(member.Config{Name: cfg.Name, Listen: listen, Advertise: advertise, Seeds: cfg.Seeds, Label: cfg.Label, Most: cfg.Most, Await: cfg.Await, Door: cfg.Door,
-		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: incarnation, Hub: cfg.Hub}, Log: cfg.Log,
+		Meta: member.Meta{Site: cfg.Site, Version: cfg.Version, Started: number, Hub: cfg.Hub}, Log: cfg.Log,
 		Hear: func(data []byte) {
 			if err := f.facts.Hear(data); err != nil {
 				cfg.Log.Debug("a message of the fleet makes no sense", "error", err)
--- /dev/null
+++ b/internal/fleet/incarnation/incarnation.go
@@ -0,0 +1,52 @@
+// Package incarnation numbers the processes of one name, so that a later one counts as the later, also where its machine's
+// clock was set back between them. A number is the wall clock's reading, and above the one before, which is kept in a folder:
+// so numbers rise over a restart of the machine, and beside those of versions that took the clock's reading alone.
+package incarnation
+
+import (
+	"cmp"
+	"log/slog"
+	"net/url"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"brookferry/internal/systime"
+	"brookferry/internal/versioned"
+)
+
+// Folder is where numbers are kept: the first of some folders that is given, else one beside the system's temporary files,
+// which a fleet's processes on a machine share.
+func Folder(label string, given ...string) string {
+	return cmp.Or(cmp.Or(given...), filepath.Join(os.TempDir(), "martenbeam-"+url.PathEscape(label)))
+}
+
+// Source numbers the processes of a name.
+type Source struct {
+	Dir  string // where the latest number is kept; "": nowhere
+	Name string
+	Log  *slog.Logger // nil: nothing is logged
+}
+
+var one sync.Mutex // at a time in this process
+
+// Next is the number of a process, or of one of its parts, that starts now. Without a folder, or where that can't be used, it
+// is as late as the clock says.
+func (s Source) Next() uint64 {
+	now := systime.Wall().UnixMilli()
+	if s.Dir == "" {
+		return uint64(now)
+	}
+	one.Lock()
+	defer one.Unlock()
+	file := "incarnation-" + url.PathEscape(s.Name)
+	before, _, err := versioned.Load(s.Dir, file)
+	next := max(now, before+1)
+	if err == nil {
+		err = versioned.Keep(s.Dir, file)(next, nil)
+	}
+	if err != nil && s.Log != nil {
+		s.Log.Warn("processes of this name are told apart by the clock alone", "error", err)
+	}
+	return uint64(next)
+}
--- a/internal/fleet/spoke/spoke.go
+++ b/internal/fleet/spoke/spoke.go
@@ -19,11 +19,11 @@
 	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/hub"
+	"brookferry/internal/fleet/incarnation"
 	"brookferry/internal/fleet/start"
 	"brookferry/internal/fleet/texts"
 	"brookferry/internal/residency"
 	"brookferry/internal/settings"
-	"brookferry/internal/systime"
 )
 
 // Config is an agent's place in its fleet.
@@ -32,8 +32,9 @@
 	Label                       string
 	Listen, Advertise           string // addresses; Advertise may be ""
 	Hubs                        []Hub
-	Most                        int  // most agents that the fleet has
-	Await                       bool // Listen may be held by an older process of this agent
+	Most                        int                // most agents that the fleet has
+	Await                       bool               // Listen may be held by an older process of this agent
+	Incarnations                incarnation.Source // numbers the processes of the name
 	Bounds                      fact.Bounds
 	Relayed                     bool              // lists come by way of the hub
 	ListRate                    float64           // calls a second that the list service is taken to bear at first
@@ -105,7 +106,7 @@
 	}
 	now := time.Now()
 	s := &Spoke{cfg: cfg, told: told, zones: zones, hubs: order(cfg.Name, cfg.Site, cfg.Region, cfg.Hubs), born: now, lost: now,
-		incarnation: uint64(systime.Wall().UnixMilli()), // orders the processes of one name; a clock set back costs a fact's bound
+		incarnation: cfg.Incarnations.Next(),
 		turn:        make(chan struct{}, 1), attached: make(chan struct{}), known: Known{Part: -1}}
 	if s.dial = cfg.Dial; s.dial == nil {
 		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: listen.Addr().AsSlice()}, KeepAlive: -1} // who is called knows by it who calls
--- a/internal/hubd/hubd.go
+++ b/internal/hubd/hubd.go
@@ -15,9 +15,9 @@
 	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/fact"
 	"brookferry/internal/fleet/hub"
+	"brookferry/internal/fleet/incarnation"
 	"brookferry/internal/residency"
 	"brookferry/internal/settings"
-	"brookferry/internal/systime"
 )
 
 const connectWithin = 250 * time.Millisecond // to the list service
@@ -55,11 +55,12 @@
 		}
 	}
 	kind := settings.Kind(h.settings)
-	h.server = hub.New(hub.Config{Name: cfg.Name, Label: cfg.Label, Program: program, Incarnation: uint64(systime.Wall().UnixMilli()), Most: cfg.Most, AdmitRate: cfg.AdmitRate,
+	numbers := incarnation.Source{Dir: incarnation.Folder(cfg.Label, cfg.Settings.State, cfg.Residency.State), Name: cfg.Name, Log: log}
+	h.server = hub.New(hub.Config{Name: cfg.Name, Label: cfg.Label, Program: program, Incarnation: numbers.Next(), Most: cfg.Most, AdmitRate: cfg.AdmitRate,
 		Bounds: bounds, Settings: kind, Policy: fleet.Policy(h.policy), PolicyAge: h.policy.Confirmed, Log: log, Trace: trace})
 	var err error
 	h.fleet, err = fleet.New(fleet.Config{Name: cfg.Name, Site: cfg.Zone, Version: program, Listen: cfg.Listen, Advertise: cfg.Advertise, Seeds: cfg.Seeds, Label: cfg.Label,
-		Most: cfg.Most, Bounds: bounds, ListRate: cfg.ListRate, Matrix: cfg.Matrix, Log: log, Trace: trace, Residency: h.policy, Source: cfg.Residency.File != "",
+		Most: cfg.Most, Incarnations: numbers, Bounds: bounds, ListRate: cfg.ListRate, Matrix: cfg.Matrix, Log: log, Trace: trace, Residency: h.policy, Source: cfg.Residency.File != "",
 		Settings: kind, Hub: true, Calls: h.server}, cfg.Zones.Names, fleet.Told{})
 	return h, err
 }
--- a/internal/hubd/hubd_test.go
+++ b/internal/hubd/hubd_test.go
@@ -23,6 +23,20 @@
 
 const patience = 30 * time.Second
 
+// TestMain has what hubs keep beside the temporary files go with the tests.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hubd-")
+	if err == nil {
+		err = os.Setenv("TMPDIR", dir)
+	}
+	if err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir) // a temporary folder: what is left does no harm
+	os.Exit(code)
+}
+
 func waitFor(t *testing.T, what string, is func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
--- a/internal/membership/hubs.go
+++ b/internal/membership/hubs.go
@@ -22,7 +22,7 @@
 		return ""
 	}
 	h := spoke.Config{Name: c.Name, Site: c.Site, Region: region(c.Site), Version: c.Version, Label: c.Label, Listen: c.Listen, Advertise: c.Advertise,
-		Most: c.Most, Await: c.Await, Bounds: c.Bounds, Relayed: c.Relayed, ListRate: c.ListRate, Residency: c.Residency, Log: c.Log, Trace: c.Trace}
+		Most: c.Most, Await: c.Await, Incarnations: c.Incarnations, Bounds: c.Bounds, Relayed: c.Relayed, ListRate: c.ListRate, Residency: c.Residency, Log: c.Log, Trace: c.Trace}
 	for zone, addr := range hubs {
 		h.Hubs = append(h.Hubs, spoke.Hub{Zone: zone, Region: region(zone), Addr: addr})
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -16,6 +16,7 @@
 	"brookferry/internal/config"
 	"brookferry/internal/fleet"
 	"brookferry/internal/fleet/fact"
+	"brookferry/internal/fleet/incarnation"
 	"brookferry/internal/fleet/source"
 	"brookferry/internal/fleet/spoke"
 	"brookferry/internal/residency"
@@ -54,6 +55,7 @@
 	agent.Fleet
 	holder *residency.Holder
 	file   string
+	state  string // a folder
 	trace  *os.File
 	log    *slog.Logger
 }
@@ -67,7 +69,7 @@
 	if r.State != "" {
 		keep = residency.Keep(r.State)
 	}
-	t.file = r.Policy
+	t.file, t.state = r.Policy, r.State
 	t.holder = residency.NewHolder(zones, time.Duration(r.BoundMs*float64(time.Millisecond)), r.Policy != "", t.log, keep)
 	if r.State != "" {
 		if err := t.holder.Load(r.State); err != nil {
@@ -100,7 +102,8 @@
 	}
 	c := fleet.Config{Name: cfg.Name, Site: site, Version: Version(), Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds, Label: f.Label,
 		Most: f.Most, Await: cfg.ListenFD > 0, Bounds: bounds(f), Relayed: f.Lists == "relayed", ListRate: f.ListRate, Matrix: f.Matrix, Log: t.log,
-		Residency: t.holder, Source: t.file != ""}
+		Residency: t.holder, Source: t.file != "",
+		Incarnations: incarnation.Source{Dir: incarnation.Folder(f.Label, f.Settings, t.state), Name: cfg.Name, Log: t.log}}
 	if t.trace != nil {
 		c.Trace = t.trace
 	}
--- a/internal/scale/hubs_test.go
+++ b/internal/scale/hubs_test.go
@@ -42,6 +42,9 @@
 	if scratch, err = os.MkdirTemp("", "scale"); err != nil {
 		panic(err) // nothing can be tested
 	}
+	if err := os.Setenv("TMPDIR", scratch); err != nil { // where processes keep what they keep
+		panic(err)
+	}
 	code := m.Run()
 	os.RemoveAll(scratch)
 	os.Exit(code)
--- a/internal/systime/systime_test.go
+++ b/internal/systime/systime_test.go
@@ -13,14 +13,12 @@
 
 // wallTime are the files that have to do with the wall clock's time, each with its reason.
 var wallTime = map[string]string{
-	"internal/systime/systime.go":         "reads it",
-	"internal/agent/discovery/started.go": "discovery gives start times of backends as Unix times; read by every clock that may be right, and bounded",
-	"internal/agent/handover/record.go":   "versions of the program before this one read and write Unix times; used only where theirs stand alone",
-	"internal/fleet/fleet.go":             "orders the processes of one name over a restart of the machine",
-	"internal/fleet/spoke/spoke.go":       "the same",
-	"internal/hubd/hubd.go":               "the same",
-	"internal/fleet/spoke/door.go":        "a deadline that is past at any time",
-	"internal/fleet/spoke/stream.go":      "the same",
+	"internal/systime/systime.go":               "reads it",
+	"internal/agent/discovery/started.go":       "discovery gives start times of backends as Unix times; read by every clock that may be right, and bounded",
+	"internal/agent/handover/record.go":         "versions of the program before this one read and write Unix times; used only where theirs stand alone",
+	"internal/fleet/incarnation/incarnation.go": "orders the processes of one name over a restart of the machine, and beside versions that had the clock alone; kept above the one before",
+	"internal/fleet/spoke/door.go":              "a deadline that is past at any time",
+	"internal/fleet/spoke/stream.go":            "the same",
 }
 
 // inWallTime are the functions and methods that take a time out of the wall clock, or put one in.
