Take waits and the kernel's word on a connection from modules

Need: doubling waits stood three times, and a struct of the kernel was read by its offsets.

Seen: internal/agent with -race, and the tests of processes that hold accepts, reloads, connections, uploads and deadlines.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -129,12 +129,11 @@
 // waited is how long the latest bytes lay in the kernel before their connection was accepted, as far as that can be told. The
 // lock is held.
 func (c *clientConn) waited() time.Duration {
-	if q, ok := c.Conn.(interface{ Queued() time.Duration }); ok && c.came.IsZero() && q.Queued() > 0 {
-		if info, ok := kernelInfo(c.Conn); ok {
-			return min(q.Queued(), info.lastReceived)
-		}
+	q, ok := c.Conn.(interface{ Queued() time.Duration })
+	if !ok || !c.came.IsZero() || q.Queued() == 0 {
+		return 0
 	}
-	return 0
+	return min(q.Queued(), sinceReceived(c.Conn))
 }
 
 // begin notes when a request began to come. The lock is held.
--- a/internal/agent/failures.go
+++ b/internal/agent/failures.go
@@ -4,12 +4,14 @@
 	"errors"
 	"syscall"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 // failures follows errors in a row of the reads or writes of one connection.
 type failures struct {
-	since time.Time
-	wait  time.Duration
+	since time.Time // zero: the latest call did not fail
+	waits backoff.ExponentialBackOff
 }
 
 const (
@@ -26,12 +28,12 @@
 		return false
 	}
 	if f.since.IsZero() {
-		f.since, f.wait = time.Now(), failureWaitFirst
+		f.since = time.Now()
+		f.waits = backoff.ExponentialBackOff{InitialInterval: failureWaitFirst, Multiplier: 2, MaxInterval: failureWaitMost}
 	}
 	if time.Since(f.since) > failsWithin {
 		return false
 	}
-	time.Sleep(f.wait)
-	f.wait = min(2*f.wait, failureWaitMost)
+	time.Sleep(f.waits.NextBackOff())
 	return true
 }
--- a/internal/agent/listening/limited.go
+++ b/internal/agent/listening/limited.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 // Limited accepts no more than so many connections at once. Past that they wait in the kernel's queue: running out of
@@ -83,7 +85,8 @@
 
 // accept takes the next connection that can be taken.
 func (l *Limited) accept() (*net.TCPConn, error) {
-	for wait := retryFirst; ; wait = min(2*wait, retryMost) {
+	waits := backoff.ExponentialBackOff{InitialInterval: retryFirst, Multiplier: 2, MaxInterval: retryMost}
+	for first := true; ; first = false {
 		began := time.Now()
 		c, err := l.AcceptTCP()
 		if err == nil {
@@ -97,13 +100,13 @@
 			return nil, err
 		}
 		l.wait()
-		if wait == retryFirst && l.Failed != nil {
+		if first && l.Failed != nil {
 			l.Failed(err)
 		}
 		select {
 		case <-l.closed:
 			return nil, net.ErrClosed
-		case <-time.After(wait):
+		case <-time.After(waits.NextBackOff()):
 		}
 	}
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"brookferry/internal/agent/listening"
 )
 
@@ -54,11 +56,13 @@
 // the system be short of something for a moment.
 func reload(a *Agent, log *slog.Logger, source Source, replaced <-chan os.Signal, done <-chan struct{}) {
 	var again <-chan time.Time // nil: the latest signal has been heeded
-	wait := reloadFirst
+	waits := backoff.ExponentialBackOff{InitialInterval: reloadFirst, Multiplier: 2, MaxInterval: reloadMost}
 	for {
+		fresh := false
 		select {
 		case <-replaced:
-			wait = reloadFirst
+			fresh = true
+			waits.Reset()
 		case <-again:
 		case <-done:
 			return
@@ -69,10 +73,9 @@
 			a.Follow(discovery)
 			continue
 		}
-		if wait == reloadFirst {
+		if fresh {
 			log.Error("the replaced configuration is not used, it will be read again", "error", err)
 		}
-		again = time.After(wait)
-		wait = min(2*wait, reloadMost)
+		again = time.After(waits.NextBackOff())
 	}
 }
--- a/internal/agent/tcpinfo.go
+++ b/internal/agent/tcpinfo.go
@@ -1,55 +1,47 @@
 package agent
 
 import (
-	"encoding/binary"
 	"net"
+	"slices"
 	"syscall"
 	"time"
-	"unsafe"
-)
-
-// tcpInfo is what the kernel says of a TCP connection.
-type tcpInfo struct {
-	state        byte
-	lastReceived time.Duration // since the latest data came
-}
 
-// Of the kernel's struct tcp_info, as far as it is used here.
-const (
-	infoSize           = 60
-	infoState          = 0
-	infoLastReceivedMs = 52
+	"golang.org/x/sys/unix"
 )
 
-// States of a TCP connection whose other side has ended its sending, or reset it.
-const stateClose, stateCloseWait, stateLastAck, stateClosing = 7, 8, 9, 11
-
-// kernelInfo asks the kernel about a connection. It reports false where that is no TCP socket.
-func kernelInfo(c net.Conn) (info tcpInfo, ok bool) {
+// kernelInfo is what the kernel says of a connection; nil: nothing, since it is no TCP socket.
+func kernelInfo(c net.Conn) *unix.TCPInfo {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return info, false
+		return nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return info, false
+		return nil
 	}
-	var text [infoSize]byte
-	size := uint32(len(text))
-	var errno syscall.Errno
-	err = raw.Control(func(fd uintptr) {
-		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
-			uintptr(unsafe.Pointer(&text)), uintptr(unsafe.Pointer(&size)), 0)
-	})
-	if err != nil || errno != 0 || size < infoSize {
-		return info, false
+	var info *unix.TCPInfo
+	var asked error
+	err = raw.Control(func(fd uintptr) { info, asked = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || asked != nil {
+		return nil
 	}
-	since := binary.NativeEndian.Uint32(text[infoLastReceivedMs:])
-	return tcpInfo{text[infoState], time.Duration(since) * time.Millisecond}, true
+	return info
 }
 
+// hungUpStates are the states of a connection whose other side has ended its sending, or reset it.
+var hungUpStates = []uint8{unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING}
+
 // hungUp reports whether the other side has ended its sending, or reset the connection, also behind bytes that nobody has read.
 func hungUp(c net.Conn) bool {
-	info, ok := kernelInfo(c)
-	return ok && (info.state == stateClose || info.state == stateCloseWait || info.state == stateLastAck || info.state == stateClosing)
+	info := kernelInfo(c)
+	return info != nil && slices.Contains(hungUpStates, info.State)
+}
+
+// sinceReceived is how long ago the latest data came; 0: that is not known.
+func sinceReceived(c net.Conn) time.Duration {
+	info := kernelInfo(c)
+	if info == nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
