Give clients' connections a package of their own

Need: internal/agent held everything in one room.

Change: internal/agent/clientconn has the connections (Conn, Listener), their framing, the failures that pass, what the kernel says of them, and which of them wait for a request (Waiting). Tests of these moved with them; three that looked at fields go by what the package tells, and TestRequestThatComesWithTheEnd forces its order by a socket that gives data and the end at once.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"brookferry/internal/agent/clientconn"
 	"brookferry/internal/agent/handover"
 	"brookferry/internal/agent/listening"
 	"brookferry/internal/systime"
@@ -24,7 +25,7 @@
 	front    *front
 	listener net.Listener
 	server   *http.Server
-	waiting  waitingConns
+	waiting  *clientconn.Waiting
 	readers  sync.WaitGroup                             // of connections: each ends with its socket
 	record   func(context.Context, handover.Call) error // where a successor finds it; may be nil
 	within   time.Duration                              // an answer is given
@@ -37,14 +38,14 @@
 )
 
 func newAdmin(ctx context.Context, cfg *Config, l *loop, f *front, log *slog.Logger) (*admin, error) {
-	a := &admin{log: log, loop: l, front: f, waiting: newWaitingConns(), within: callWithin}
+	a := &admin{log: log, loop: l, front: f, waiting: clientconn.NewWaiting(), within: callWithin}
 	ln, err := listening.TCP(ctx, cfg.Mgmt)
 	if err != nil {
 		return nil, fmt.Errorf("mgmt: %w", err)
 	}
 	limited := listening.Limit(ln, doorSockets)
 	limited.Failed = func(err error) { log.Warn("accepting operators' calls fails", "error", err) }
-	limited.Full = a.waiting.makeRoom // who calls and says nothing must not keep out those who would
+	limited.Full = a.waiting.MakeRoom // who calls and says nothing must not keep out those who would
 	a.listener = limited
 	a.server = &http.Server{
 		Handler:        a,
@@ -52,7 +53,7 @@
 		WriteTimeout:   doorTimeout + 2*callWithin,
 		MaxHeaderBytes: maxCall,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnState:      a.waiting.track,
+		ConnState:      a.waiting.Track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerKey{}, c)
 		},
@@ -75,7 +76,7 @@
 			a.server.Close()
 		}
 	}()
-	if err := a.server.Serve(clientListener{a.listener, &a.readers}); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(clientconn.Listener{Listener: a.listener, Tasks: &a.readers}); !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error("the operators' door is shut", "error", err)
 	}
 	<-closed
@@ -113,7 +114,7 @@
 		http.Error(w, "the call can't be read", http.StatusBadRequest)
 		return
 	}
-	if c, ok := hr.Context().Value(callerKey{}).(net.Conn); ok && !a.waiting.claim(c) {
+	if c, ok := hr.Context().Value(callerKey{}).(net.Conn); ok && !a.waiting.Claim(c) {
 		panic(http.ErrAbortHandler) // closed to make room before it was whole
 	}
 	switch hr.URL.Path {
--- a/internal/agent/admin_test.go
+++ b/internal/agent/admin_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"brookferry"
-	"brookferry/internal/agent/listening"
+	"brookferry/internal/agent/clientconn"
 )
 
 // withDoor is a configuration whose agent has an operators' door.
@@ -261,28 +261,6 @@
 	})
 }
 
-// A request that lies unread on a connection keeps it from being closed as idle.
-func TestUnreadRequestIsSeen(t *testing.T) {
-	ln := listen(t)
-	near, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer near.Close()
-	c, err := listening.Limit(ln.(*net.TCPListener), 1).Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	if unread(c) {
-		t.Error("bytes seen where none are")
-	}
-	if _, err := io.WriteString(near, "P"); err != nil {
-		t.Fatal(err)
-	}
-	waitFor(t, "the byte to be seen", func() bool { return unread(c) })
-}
-
 // The door's descriptors are nobody else's, and with no door nothing is set aside.
 func TestDoorHasItsOwnDescriptors(t *testing.T) {
 	cfg := testConfig(t, setup{})
@@ -306,12 +284,11 @@
 	}
 	defer c.Close()
 	waitFor(t, "the connection", func() bool {
-		a.admin.waiting.mu.Lock()
-		defer a.admin.waiting.mu.Unlock()
-		for conn := range a.admin.waiting.waiting {
-			_, reads := conn.(*clientConn)
-			return reads
+		conns := a.admin.waiting.Conns()
+		if len(conns) == 0 {
+			return false
 		}
-		return false
+		_, reads := conns[0].(*clientconn.Conn)
+		return reads
 	})
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	a.listener = listening.Limit(ln, acceptSockets(cfg.shareable()))
-	a.listener.Full, a.listener.Failed = a.front.makeRoom, func(err error) { log.Warn("accepting clients fails", "error", err) }
+	a.listener.Full, a.listener.Failed = a.front.waiting.MakeRoom, func(err error) { log.Warn("accepting clients fails", "error", err) }
 	if cfg.ListenFD > 0 {
 		a.prepareHandover(ctx)
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -972,9 +972,9 @@
 	waitFor(t, "one silent connection", func() bool {
 		a.front.mu.Lock()
 		defer a.front.mu.Unlock()
-		return len(a.front.waiting) == 1 && a.front.conns == 2
+		return len(a.front.waiting.Conns()) == 1 && a.front.conns == 2
 	})
-	a.front.closeIdle(0, 0)
+	a.front.waiting.CloseIdle(0, 0)
 	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn/conn.go
@@ -1,4 +1,6 @@
-package agent
+// Package clientconn is the clients' side of connections: each is read by a task of its own, ahead of the server, and is owned by
+// the request that has come whole on it or by who closes it.
+package clientconn
 
 import (
 	"context"
@@ -10,10 +12,10 @@
 	"time"
 )
 
-// clientConn is a connection of a client. A task of its own is the only one that reads the socket, ahead of the server:
+// Conn is a connection of a client, under net/http's. A task of its own is the only one that reads the socket, ahead of the server:
 // net/http reads no further than one byte behind a request, and would not see that a client has gone who has sent
 // more than that.
-type clientConn struct {
+type Conn struct {
 	net.Conn
 	since time.Time       // it was accepted
 	gone  context.Context // ends with the client's side of the connection, or with this one
@@ -44,31 +46,32 @@
 	lingerMost = 500 * time.Millisecond
 )
 
-// clientListener hands out clients' connections, each with the task that reads it.
-type clientListener struct {
+// Listener hands out clients' connections, each with the task that reads it.
+type Listener struct {
 	net.Listener
-	tasks *sync.WaitGroup
+	Tasks *sync.WaitGroup
 }
 
-func (l clientListener) Accept() (net.Conn, error) {
+func (l Listener) Accept() (net.Conn, error) {
 	socket, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := newClientConn(socket)
-	l.tasks.Go(c.receive)
+	c := New(socket)
+	l.Tasks.Go(c.receive)
 	return c, nil
 }
 
-func newClientConn(socket net.Conn) *clientConn {
-	c := &clientConn{Conn: socket, since: time.Now()}
+// New returns a connection over a socket, which is to be received from.
+func New(socket net.Conn) *Conn {
+	c := &Conn{Conn: socket, since: time.Now()}
 	c.gone, c.left = context.WithCancel(context.Background())
 	c.changed.L = &c.mu
 	return c
 }
 
 // receive reads the socket until its end.
-func (c *clientConn) receive() {
+func (c *Conn) receive() {
 	p := make([]byte, readPart)
 	var failing failures
 	for {
@@ -83,7 +86,7 @@
 }
 
 // keep takes what was read, and waits for room. It reports false after the last.
-func (c *clientConn) keep(p []byte, err error) bool {
+func (c *Conn) keep(p []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(p) > 0 && !c.closing && !c.flooded {
@@ -113,7 +116,7 @@
 
 // awaitRoom waits for a change, and looks now and then whether the client has gone: while the task reads nothing, nothing
 // tells of that. The lock is held.
-func (c *clientConn) awaitRoom() {
+func (c *Conn) awaitRoom() {
 	look := time.AfterFunc(hangUpEvery, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -128,7 +131,7 @@
 
 // waited is how long the latest bytes lay in the kernel before their connection was accepted, as far as that can be told. The
 // lock is held.
-func (c *clientConn) waited() time.Duration {
+func (c *Conn) waited() time.Duration {
 	q, ok := c.Conn.(interface{ Queued() time.Duration })
 	if !ok || !c.came.IsZero() || q.Queued() == 0 {
 		return 0
@@ -137,14 +140,14 @@
 }
 
 // begin notes when a request began to come. The lock is held.
-func (c *clientConn) begin() {
+func (c *Conn) begin() {
 	if !c.awaiting && c.first.IsZero() {
 		c.first = time.Now()
 	}
 }
 
 // end has nothing more of the client taken. The lock is held.
-func (c *clientConn) end(err error) {
+func (c *Conn) end(err error) {
 	if c.err == nil {
 		c.err = err
 	}
@@ -153,7 +156,7 @@
 }
 
 // Read hands the server what has come. Of a client that has gone it gets no further request.
-func (c *clientConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
@@ -180,7 +183,7 @@
 var errFlooded = errors.New("the client sends more than one request at a time")
 
 // SetReadDeadline bounds the server's reads, not those of the task.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.until = t
@@ -202,11 +205,11 @@
 	return nil
 }
 
-func (c *clientConn) SetDeadline(t time.Time) error {
+func (c *Conn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-func (c *clientConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.written = true
 	c.mu.Unlock()
@@ -221,7 +224,7 @@
 
 // Close ends the connection. Where an answer was written the client can still read it: the task drops what comes, and
 // closes the socket.
-func (c *clientConn) Close() error {
+func (c *Conn) Close() error {
 	c.mu.Lock()
 	linger := c.lingers()
 	c.shut()
@@ -230,10 +233,10 @@
 }
 
 // lingers reports whether the other side may not have read an answer yet. The lock is held.
-func (c *clientConn) lingers() bool { return c.written && !c.ended && !c.closing }
+func (c *Conn) lingers() bool { return c.written && !c.ended && !c.closing }
 
 // release closes the socket, or has the task close it.
-func (c *clientConn) release(linger bool) error {
+func (c *Conn) release(linger bool) error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); linger && ok && half.CloseWrite() == nil &&
 		c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) == nil {
 		return nil
@@ -242,7 +245,7 @@
 }
 
 // abortUnlessAsked closes the connection at once, unless a whole request may have come. It reports whether it has.
-func (c *clientConn) abortUnlessAsked() bool {
+func (c *Conn) abortUnlessAsked() bool {
 	c.mu.Lock()
 	if c.mayBeWhole() {
 		c.mu.Unlock()
@@ -255,7 +258,7 @@
 }
 
 // closeUnlessReading ends the connection, unless part of a request has come. It reports whether it has.
-func (c *clientConn) closeUnlessReading() bool {
+func (c *Conn) closeUnlessReading() bool {
 	c.mu.Lock()
 	if c.partRead() {
 		c.mu.Unlock()
@@ -269,7 +272,7 @@
 }
 
 // shut has this side closed. The lock is held.
-func (c *clientConn) shut() {
+func (c *Conn) shut() {
 	c.closing = true
 	c.end(net.ErrClosed)
 	if c.timer != nil {
@@ -277,16 +280,22 @@
 	}
 }
 
-// await says that the present request has come whole.
-func (c *clientConn) await() {
+// Gone ends with the client's side of the connection, or with this one.
+func (c *Conn) Gone() context.Context { return c.gone }
+
+// Ambiguous reports whether a request gave both a Content-Length and a Transfer-Encoding: where it ends is in doubt.
+func (c *Conn) Ambiguous() bool { return c.ambiguous.Load() }
+
+// Await says that the present request has come whole.
+func (c *Conn) Await() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting = true
 	c.changed.Broadcast()
 }
 
-// rest says that the present request has its answer.
-func (c *clientConn) rest() {
+// Rest says that the present request has its answer.
+func (c *Conn) Rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting, c.first = false, time.Time{}
@@ -296,42 +305,42 @@
 	}
 }
 
-// over reports whether the connection ends with the present answer, since what came behind it was not kept.
-func (c *clientConn) over() bool {
+// Over reports whether the connection ends with the present answer, since what came behind it was not kept.
+func (c *Conn) Over() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.flooded
 }
 
-// reading reports whether part of a request has come that has no answer.
-func (c *clientConn) reading() bool {
+// Reading reports whether part of a request has come that has no answer.
+func (c *Conn) Reading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.partRead()
 }
 
 // partRead is reading. The lock is held.
-func (c *clientConn) partRead() bool { return c.mayBeWhole() || c.inside }
+func (c *Conn) partRead() bool { return c.mayBeWhole() || c.inside }
 
-// asked reports whether a whole request may have come that has no answer.
-func (c *clientConn) asked() bool {
+// Asked reports whether a whole request may have come that has no answer.
+func (c *Conn) Asked() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.mayBeWhole()
 }
 
 // mayBeWhole is asked: of what the server has not been handed nothing is known. The lock is held.
-func (c *clientConn) mayBeWhole() bool { return len(c.ahead) > 0 || c.whole > c.done || unread(c.Conn) }
+func (c *Conn) mayBeWhole() bool { return len(c.ahead) > 0 || c.whole > c.done || unread(c.Conn) }
 
-// lastByte is when the latest byte came of what was read.
-func (c *clientConn) lastByte() time.Time {
+// LastByte is when the latest byte came of what was read.
+func (c *Conn) LastByte() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.came
 }
 
-// requestSince is when the present request began to come: the first one with its connection.
-func (c *clientConn) requestSince() time.Time {
+// RequestSince is when the present request began to come: the first one with its connection.
+func (c *Conn) RequestSince() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -345,7 +354,7 @@
 
 // CloseWrite lets net/http end its sending before it closes, so that a reset does not overtake a
 // last answer.
-func (c *clientConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/internal/agent/failures.go
+++ b/internal/agent/clientconn/failures.go
@@ -1,4 +1,4 @@
-package agent
+package clientconn
 
 import (
 	"errors"
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"brookferry"
+	"brookferry/internal/agent/clientconn"
 	"brookferry/internal/residency/gate"
 	"brookferry/internal/wire"
 )
@@ -38,7 +39,9 @@
 
 	residency gate.Keeper // nil: no policy
 
-	waitingConns
+	waiting *clientconn.Waiting
+
+	mu      sync.Mutex
 	conns   int
 	readers sync.WaitGroup // of connections: each ends with its socket
 }
@@ -55,7 +58,7 @@
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
 	f := &front{cfg: cfg, loop: l, classes: map[string]int{},
-		body: bodyTimeout, gap: bodyGap, waitingConns: newWaitingConns()}
+		body: bodyTimeout, gap: bodyGap, waiting: clientconn.NewWaiting()}
 	f.allow(clientSockets(cfg.shareable()))
 	for i, name := range cfg.Site.Classes {
 		f.classes[name] = i
@@ -70,12 +73,12 @@
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState:      f.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			client, ok := c.(*clientConn)
+			client, ok := c.(*clientconn.Conn)
 			if !ok {
 				return ctx
 			}
 			ctx, end := context.WithCancel(context.WithValue(ctx, clientKey{}, client))
-			context.AfterFunc(client.gone, end)
+			context.AfterFunc(client.Gone(), end)
 			return ctx
 		},
 	}
@@ -93,28 +96,30 @@
 type clientKey struct{}
 
 // clientOf is the connection that a request came on; nil: none of this front's.
-func clientOf(hr *http.Request) *clientConn {
-	c, _ := hr.Context().Value(clientKey{}).(*clientConn)
+func clientOf(hr *http.Request) *clientconn.Conn {
+	c, _ := hr.Context().Value(clientKey{}).(*clientconn.Conn)
 	return c
 }
 
 // lastByte is when a request's latest byte came.
 func lastByte(hr *http.Request) time.Time {
 	if c := clientOf(hr); c != nil {
-		return c.lastByte()
+		return c.LastByte()
 	}
 	return time.Now()
 }
 
 // serve takes connections until the listener is closed.
-func (f *front) serve(l net.Listener) error { return f.server.Serve(clientListener{l, &f.readers}) }
+func (f *front) serve(l net.Listener) error {
+	return f.server.Serve(clientconn.Listener{Listener: l, Tasks: &f.readers})
+}
 
 // track counts connections as they come and go.
 func (f *front) track(c net.Conn, s http.ConnState) {
-	if c, ok := c.(*clientConn); ok && s == http.StateIdle {
-		c.rest() // before it may be closed as idle
+	if c, ok := c.(*clientconn.Conn); ok && s == http.StateIdle {
+		c.Rest() // before it may be closed as idle
 	}
-	f.waitingConns.track(c, s)
+	f.waiting.Track(c, s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch s {
@@ -158,7 +163,7 @@
 		case since.IsZero():
 			since = time.Now()
 		case time.Since(since) >= emptyIdle && f.stopAt.Load() == 0:
-			f.closeIdle(emptyIdle, emptyIdle)
+			f.waiting.CloseIdle(emptyIdle, emptyIdle)
 		}
 	}
 }
@@ -210,11 +215,11 @@
 		return
 	}
 	client := clientOf(hr)
-	if client != nil && !f.claim(client) {
+	if client != nil && !f.waiting.Claim(client) {
 		panic(http.ErrAbortHandler)
 	}
 	// Also where it came with others, and the client has gone since: the request's own context ends a moment later.
-	if client != nil && client.gone.Err() != nil {
+	if client != nil && client.Gone().Err() != nil {
 		f.answer(w, hr, reply{})
 		return
 	}
@@ -228,11 +233,11 @@
 	u := r.message.upload
 	if u == nil {
 		if client != nil {
-			client.await()
+			client.Await()
 		}
 		a := f.wait(hr, r)
 		f.closeAfterReply(w)
-		if client != nil && client.over() {
+		if client != nil && client.Over() {
 			w.Header().Set("Connection", "close")
 		}
 		f.answer(w, hr, a)
@@ -273,7 +278,7 @@
 // anywhere; a peer that never sends a whole request is sent away 3 s after it has connected.
 func (f *front) bodyTime(hr *http.Request) time.Duration {
 	if c := clientOf(hr); c != nil {
-		return f.body - time.Since(c.requestSince())
+		return f.body - time.Since(c.RequestSince())
 	}
 	return f.body
 }
@@ -336,7 +341,7 @@
 
 // checkFraming tells requests whose end is in doubt.
 func checkFraming(hr *http.Request) *inputError {
-	if c := clientOf(hr); c != nil && c.ambiguous.Load() {
+	if c := clientOf(hr); c != nil && c.Ambiguous() {
 		return bad("both Content-Length and Transfer-Encoding")
 	}
 	if !hr.ProtoAtLeast(1, 1) { // net/http ignores its Transfer-Encoding, whatever body that announces
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"brookferry/internal/agent/clientconn"
 	"brookferry/internal/wire"
 )
 
@@ -214,28 +214,6 @@
 	}
 }
 
-// A header comes in pieces of any size, and bodies that look like headers are bodies.
-func TestFramingInPieces(t *testing.T) {
-	plain := "\r\nPOST /a HTTP/1.1\r\nContent-Length: 31\r\n\r\nTransfer-Encoding: chunked\r\n\r\nx" +
-		"POST /b HTTP/1.1\r\nX-Long: " + strings.Repeat("Transfer-Encoding:", 40) + "\nContent-Length: 0\n\n"
-	both := "POST /c HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for size := 1; size < len(plain); size++ {
-		var c framing
-		for part := range slices.Chunk([]byte(plain), size) {
-			c.follow(part)
-		}
-		if c.ambiguous.Load() || c.chunked {
-			t.Fatalf("in pieces of %d: taken for ambiguous", size)
-		}
-		for part := range slices.Chunk([]byte(both), size) {
-			c.follow(part)
-		}
-		if !c.ambiguous.Load() {
-			t.Fatalf("in pieces of %d: not taken for ambiguous", size)
-		}
-	}
-}
-
 // While others want to connect, the connection that has waited longest for its first request gives
 // way, then the one idle longest; never one with a request open, nor one that has only just come.
 func TestMakeRoom(t *testing.T) {
@@ -259,24 +237,24 @@
 			t.Fatal(err)
 		}
 		synctest.Wait()
-		f.makeRoom()
+		f.waiting.MakeRoom()
 		if synctest.Wait(); !open(slow) || !open(idle) {
 			t.Fatal("closed one that has only just come")
 		}
-		time.Sleep(leastWait)
+		time.Sleep(clientconn.LeastWait)
 		fresh := dial()
 		synctest.Wait()
-		f.makeRoom()
+		f.waiting.MakeRoom()
 		if synctest.Wait(); open(slow) || !open(idle) || !open(busy) || !open(fresh) {
 			t.Error("not the unfinished one was closed")
 		}
-		f.makeRoom()
+		f.waiting.MakeRoom()
 		if synctest.Wait(); open(idle) || !open(busy) || !open(fresh) {
 			t.Error("not the idle one was closed, though another had only just come")
 		}
-		time.Sleep(leastWait)
-		f.makeRoom()
-		f.makeRoom()
+		time.Sleep(clientconn.LeastWait)
+		f.waiting.MakeRoom()
+		f.waiting.MakeRoom()
 		if synctest.Wait(); open(fresh) || !open(busy) {
 			t.Error("not the silent one was closed, or one with a request open")
 		}
--- a/internal/agent/rare_front_test.go
+++ b/internal/agent/rare_front_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"brookferry/internal/agent/clientconn"
 )
 
 // The tests in this file and in rare_backends_test.go force an order of events that is rare: what docs/findings/rare.md
@@ -34,8 +36,8 @@
 		f.server.Close()
 		<-served
 		f.readers.Wait()
-		if f.conns != 0 || f.open.Load() != 0 || len(f.waiting) != 0 {
-			t.Errorf("left: %d connections, %d requests, %d waiting", f.conns, f.open.Load(), len(f.waiting))
+		if f.conns != 0 || f.open.Load() != 0 || len(f.waiting.Conns()) != 0 {
+			t.Errorf("left: %d connections, %d requests, %d waiting", f.conns, f.open.Load(), len(f.waiting.Conns()))
 		}
 	})
 	return f, func() *net.TCPConn {
@@ -75,7 +77,7 @@
 // request ended net/http's watch.
 func TestClientThatHasGoneIsNoticed(t *testing.T) {
 	for name, behind := range map[string]string{"nothing": "", "a byte": "G", "half a request": "GET /get/x HT",
-		"requests": get("/get/x", "") + get("/get/x", ""), "more than is kept": strings.Repeat("x", 2*aheadMost)} {
+		"requests": get("/get/x", "") + get("/get/x", ""), "more than is kept": strings.Repeat("x", 64<<10)} {
 		for how, leave := range map[string]func(*net.TCPConn) error{
 			"closes":      func(c *net.TCPConn) error { return c.Close() },
 			"half-closes": func(c *net.TCPConn) error { return c.CloseWrite() },
@@ -128,11 +130,15 @@
 	f := newFront(cfg, l, quiet)
 	near, far := net.Pipe()
 	defer near.Close()
-	c := newClientConn(far)
-	// The order that hurts: the end is known before the server has read the request.
-	c.keep([]byte(get("/get/x", "")), nil)
-	c.keep(nil, io.EOF)
 	ln := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+	ln.conns <- &lastWords{Conn: far, text: get("/get/x", "")}
+	var tasks sync.WaitGroup
+	c, err := clientconn.Listener{Listener: ln, Tasks: &tasks}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The order that hurts: the end is known before the server has read the request.
+	receive(t, "end", c.(*clientconn.Conn).Gone().Done())
 	ln.conns <- c
 	served := make(chan error, 1)
 	go func() { served <- f.server.Serve(ln) }()
@@ -146,64 +152,45 @@
 	_, _ = io.Copy(io.Discard, in)
 	f.server.Close()
 	<-served
+	tasks.Wait()
+}
+
+// lastWords is a socket that gives all that comes with the end behind it.
+type lastWords struct {
+	net.Conn
+	text string
+}
+
+func (c *lastWords) Read(p []byte) (n int, err error) {
+	n = copy(p, c.text)
+	if c.text = c.text[n:]; c.text == "" {
+		err = io.EOF
+	}
+	return n, err
 }
 
 // What has come of a request keeps its connection from being closed as idle, wherever it lies: unread, read ahead, or with
 // the server. A connection that was closed all the same sends nothing on.
 func TestCloseAndRequestCross(t *testing.T) {
-	t.Run("part read ahead", func(t *testing.T) {
-		c := newClientConn(nil)
-		if c.Conn = (&net.TCPConn{}); c.reading() {
-			t.Error("a request is seen where none is")
-		}
-		c.keep([]byte("G"), nil)
-		if !c.reading() {
-			t.Error("what was read ahead is not seen")
-		}
-		c.until = time.Time{}
-		if n, err := c.Read(make([]byte, 10)); n != 1 || err != nil || !c.reading() {
-			t.Errorf("%d bytes, %v: what the server has is not seen", n, err)
-		}
-	})
-	t.Run("whole with the server, its answer out, and another with it", func(t *testing.T) {
-		c := newClientConn(&net.TCPConn{})
-		c.keep([]byte("\r\n"+get("/get/x", "")+get("/get/x", "")), nil)
-		if _, err := c.Read(make([]byte, 4096)); err != nil {
-			t.Fatal(err)
-		}
-		if c.rest(); !c.reading() {
-			t.Error("the second is not seen")
-		}
-		if c.rest(); c.reading() {
-			t.Error("a third is seen")
-		}
-	})
 	t.Run("closed before its body is whole", func(t *testing.T) {
 		f, dial, posts := socketFront(t)
 		c := dial()
 		write(t, c, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\nContent-Length: 5\r\n\r\nab")
 		waitFor(t, "half of the request", func() bool {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			for c := range f.waiting {
-				c := c.(*clientConn)
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				return c.skip == 3 // bytes of its body are to come
+			for _, c := range f.waiting.Conns() {
+				c := c.(*clientconn.Conn)
+				return c.Reading() && !c.Asked() // the server has all that came, and some is to come
 			}
 			return false
 		})
-		f.closeIdle(0, 0) // leaves it
-		f.mu.Lock()
-		if len(f.waiting) != 1 {
+		f.waiting.CloseIdle(0, 0) // leaves it
+		if len(f.waiting.Conns()) != 1 {
 			t.Error("closed as idle")
 		}
-		for c := range f.waiting {
-			f.waiting[c] = waitingIn{since: time.Now().Add(-leastWait), first: true}
-		}
-		f.mu.Unlock()
-		f.makeRoom()
-		waitFor(t, "the connection's end", f.nobody)
+		waitFor(t, "the connection's end", func() bool {
+			f.waiting.MakeRoom() // once it has waited for long enough
+			return f.nobody()
+		})
 		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && resp.StatusCode < 400 {
 			t.Errorf("it was answered: %d", resp.StatusCode) // an error or a close is owed, as it comes
 		}
@@ -243,71 +230,3 @@
 		})
 	}
 }
-
-// A connection whose client never closes is closed for good once it has had its time.
-func TestLingeringEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		near, far := net.Pipe()
-		defer near.Close()
-		c := newClientConn(&halfPipe{Conn: far})
-		done := make(chan struct{})
-		go func() { c.receive(); close(done) }()
-		go func() { _, _ = io.Copy(io.Discard, near) }()
-		if _, err := c.Write([]byte("answer")); err != nil {
-			t.Fatal(err)
-		}
-		at := time.Now()
-		c.Close()
-		if <-done; time.Since(at) != lingerMost {
-			t.Errorf("closed after %v", time.Since(at))
-		}
-		if _, err := far.Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
-			t.Errorf("the socket is open: %v", err)
-		}
-	})
-}
-
-// halfPipe is a pipe of which one direction can be closed.
-type halfPipe struct{ net.Conn }
-
-func (halfPipe) CloseWrite() error { return nil }
-
-// A connection on which a request has come whole is not closed to make room, whether the server has seen it or not.
-func TestNoRoomAtTheCostOfARequest(t *testing.T) {
-	for _, seen := range []bool{false, true} {
-		ln := listen(t)
-		near, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer near.Close()
-		far, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := newClientConn(far)
-		received := make(chan struct{})
-		go func() { defer close(received); c.receive() }()
-		l := newWaitingConns()
-		l.waiting[c] = waitingIn{since: time.Now().Add(-time.Hour)} // it rests, longer than any other
-		if _, err := io.WriteString(near, "GET /get/x HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
-			t.Fatal(err)
-		}
-		waitFor(t, "the request to be read", func() bool { return c.reading() && !unread(c.Conn) })
-		if seen {
-			if _, err := c.Read(make([]byte, 100)); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if c.abortUnlessAsked() || c.closeUnlessReading() { // as if it had come after they looked
-			t.Errorf("seen by the server %v: closed in the moment in which it came", seen)
-		}
-		l.makeRoom()
-		if !l.claim(c) {
-			t.Errorf("seen by the server %v: closed", seen)
-		}
-		c.Close()
-		near.Close()
-		<-received
-	}
-}
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"brookferry/internal/agent/clientconn"
 	"brookferry/internal/agent/handover"
 )
 
@@ -103,10 +104,8 @@
 
 // idle reports whether no connection has part of a request.
 func (s *stopping) idle() bool {
-	s.front.mu.Lock()
-	defer s.front.mu.Unlock()
-	for c := range s.front.waiting {
-		if c.(*clientConn).reading() {
+	for _, c := range s.front.waiting.Conns() {
+		if c.(*clientconn.Conn).Reading() {
 			return false
 		}
 	}
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -38,7 +38,7 @@
 		default:
 		}
 		if time.Since(began) >= rest {
-			f.closeIdle(0, silent)
+			f.waiting.CloseIdle(0, silent)
 		}
 		over := time.Now().After(end)
 		if accepted && (over || !a.listener.Waiting()) {
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -492,7 +492,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(emptyIdle)
-		f.closeIdle(emptyIdle, emptyIdle)
+		f.waiting.CloseIdle(emptyIdle, emptyIdle)
 		if _, err := io.WriteString(c, text[20:]); err != nil {
 			t.Fatal(err)
 		}
