Give operators' calls a package of their own

Need: as for clients' connections.

Change: internal/agent/operations serves the calls, on an interface of what they are about (Ready, Move, Drain). A call that has come whole keeps its place by a test that has the server come late to it, in place of one that looked at a type.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,7 +4,7 @@
 //
 // The loop (loop.go) owns the module; the front (front.go) serves clients, on connections that clientconn.go reads,
 // backends.go makes attempts, stream.go passes large bodies and answers through, discovery follows the list, peers.go
-// exchanges datagrams with other agents, admin.go takes operators' calls, and successor.go tells the
+// exchanges datagrams with other agents, operations takes operators' calls, and successor.go tells the
 // next process what it must know (handover).
 package agent
 
@@ -19,24 +19,25 @@
 	"brookferry"
 	"brookferry/internal/agent/discovery"
 	"brookferry/internal/agent/listening"
+	"brookferry/internal/agent/operations"
 	"brookferry/internal/fleet/source"
 )
 
 // Agent is one agent, ready to run.
 type Agent struct {
-	cfg       *Config
-	log       *slog.Logger
-	loop      *loop
-	front     *front
-	backends  *backends
-	discovery *discovery.Follower
-	admin     *admin     // nil: operators have no door
-	successor *successor // nil: no process of this agent replaces another
-	fleet     Fleet      // nil: it has no fleet
-	listener  *listening.Limited
-	closed    bool                    // the listener; stop's
-	stopIn    time.Duration           // after a SIGTERM the last answers are out
-	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
+	cfg        *Config
+	log        *slog.Logger
+	loop       *loop
+	front      *front
+	backends   *backends
+	discovery  *discovery.Follower
+	operations *operations.Server // nil: operators can't call
+	successor  *successor         // nil: no process of this agent replaces another
+	fleet      Fleet              // nil: it has no fleet
+	listener   *listening.Limited
+	closed     bool                    // the listener; stop's
+	stopIn     time.Duration           // after a SIGTERM the last answers are out
+	accept     func() <-chan time.Time // ends the time in which a stopping agent takes connections
 }
 
 // New listens and sets up an agent. Clients are served once Run is called. It waits for an address that another process
@@ -71,7 +72,7 @@
 	a.front = newFront(cfg, a.loop, log)
 	a.front.residency = a.loop.residency
 	if cfg.Mgmt != "" {
-		if a.admin, err = newAdmin(ctx, cfg, a.loop, a.front, log); err != nil {
+		if a.operations, err = operations.New(ctx, cfg.Mgmt, operationsSockets, operated{a.loop, a.front}, log); err != nil {
 			return nil, err
 		}
 	}
@@ -118,8 +119,8 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	if a.admin != nil { // before what may wait: a call has its answer, if only a no
-		running.Go(func() { a.admin.run(ctx) })
+	if a.operations != nil { // before what may wait: a call has its answer, if only a no
+		running.Go(func() { a.operations.Run(ctx) })
 	}
 	if a.successor != nil {
 		a.inherit(stop)
@@ -141,7 +142,7 @@
 	if a.loop.peers != nil {
 		running.Go(func() { a.loop.peers.run(heard, a.loop.post) })
 	}
-	if a.admin != nil || a.successor != nil {
+	if a.operations != nil || a.successor != nil {
 		running.Go(func() { a.front.empty(ctx) })
 	}
 	if a.successor != nil {
--- a/internal/agent/clientconn/conn_test.go
+++ b/internal/agent/clientconn/conn_test.go
@@ -1,7 +1,6 @@
 package clientconn
 
 import (
-	"brookferry/internal/agent/listening"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +11,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"brookferry/internal/agent/listening"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -226,7 +226,7 @@
 func (c *Config) shareable() int {
 	limit := cmp.Or(c.Sockets, defaultSockets)
 	if c.Mgmt != "" {
-		limit -= doorSockets + 1
+		limit -= operationsSockets + 1
 	}
 	return limit
 }
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"brookferry/internal/agent/handover"
+	"brookferry/internal/agent/operations"
 )
 
 // descriptor is a further descriptor of a socket, as a process inherits it.
@@ -51,7 +52,7 @@
 	servers := []member{one.member("one"), two.member("two")}
 	ln, dir := listen(t), t.TempDir()
 	older := start(t, upgradable(t, ln, dir, setup{servers: servers}))
-	older.admin.within = patience
+	older.operations.Within = patience
 	waitFor(t, "the older one to take clients", older.front.taking.Load)
 	client, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
@@ -79,7 +80,7 @@
 	before := len(one.seen)
 
 	younger := start(t, upgradable(t, ln, dir, setup{servers: servers}))
-	younger.admin.within = patience
+	younger.operations.Within = patience
 	waitFor(t, "the younger one to take clients", younger.front.taking.Load)
 	if resp := knock(t, younger, "GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n"); resp.StatusCode != 200 {
 		t.Errorf("not ready: %+v", resp)
@@ -118,7 +119,7 @@
 			half := (&Config{Sockets: limit, MemoryMB: 64, Mgmt: mgmt}).halved()
 			sum := 2 * (ownSockets + acceptSockets(half.shareable()) + backendSockets(half.shareable()))
 			if mgmt != "" {
-				sum += 2 * (doorSockets + 1)
+				sum += 2 * (operationsSockets + 1)
 			}
 			if sum > limit || half.MemoryMB != 32 {
 				t.Errorf("%d descriptors in two processes, %d are there; %d MB each of 64", sum, limit, half.MemoryMB)
@@ -207,11 +208,11 @@
 	s := serveRaw(t, func(int) string { return ok200 })
 	ln := listen(t)
 	a := start(t, upgradable(t, ln, filepath.Join(t.TempDir(), "none"), setup{servers: []member{s.member("s")}}))
-	a.admin.within = patience
+	a.operations.Within = patience
 	if x := a.do("GET", "/get/x", ""); x.status != 200 {
 		t.Errorf("%+v", x)
 	}
-	a.admin.within = callWithin
+	a.operations.Within = operations.AnswerWithin
 	if resp := knock(t, a, put("/_backends/detach", `{"target":"s"}`)); resp.StatusCode != 503 {
 		t.Errorf("%+v", resp)
 	}
@@ -253,7 +254,7 @@
 			c, ln, dir := serveCatalog(t), listen(t), t.TempDir()
 			set := setup{discovery: c.addr, servers: []member{one.member("one"), two.member("two")}}
 			older := start(t, upgradable(t, ln, dir, set))
-			older.admin.within = patience
+			older.operations.Within = patience
 			watch := receive(t, "watch", c.watch)
 			now := make(chan time.Time)
 			close(now)
--- /dev/null
+++ b/internal/agent/operated.go
@@ -0,0 +1,17 @@
+package agent
+
+import "context"
+
+// operated is the agent as operators' calls see it.
+type operated struct {
+	loop  *loop
+	front *front
+}
+
+func (o operated) Ready() bool { return o.front.taking.Load() }
+
+func (o operated) Move(ctx context.Context, backend string, detach bool) (bool, error) {
+	return o.loop.call(ctx, &call{backend: backend, detach: detach})
+}
+
+func (o operated) Drain(on bool) { o.front.setLame(on) }
--- a/internal/agent/admin_test.go
+++ b/internal/agent/operated_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"brookferry"
-	"brookferry/internal/agent/clientconn"
+	"brookferry/internal/agent/operations"
 )
 
 // withDoor is a configuration whose agent has an operators' door.
@@ -27,7 +27,7 @@
 // knock makes a call as it stands and returns the status and the headers.
 func knock(t *testing.T, a *running, text string) *http.Response {
 	t.Helper()
-	c, err := net.Dial("tcp", a.admin.listener.Addr().String())
+	c, err := net.Dial("tcp", a.operations.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +57,7 @@
 func TestCalls(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
 	a := start(t, withDoor(t, setup{servers: []member{s.member("s")}}))
-	a.admin.within = patience // a slow machine is no loop that hangs
+	a.operations.Within = patience // a slow machine is no loop that hangs
 	for _, row := range []struct {
 		text string
 		want int
@@ -76,7 +76,7 @@
 		{put("/_backends/detach", `null`), 400},
 		{put("/_backends/detach", `{"target":"s"`), 400},
 		{put("/_backends/detach", ""), 400},
-		{put("/_backends/detach", strings.Repeat(" ", maxCall+1)), 413},
+		{put("/_backends/detach", strings.Repeat(" ", 4<<10+1)), 413},
 		{put("/_backends", `{"target":"s"}`), 404},
 		{put("//_lameduck/on", ""), 404},
 		{"GET /_lameduck/on HTTP/1.1\r\nHost: a\r\n\r\n", 405},
@@ -97,10 +97,10 @@
 func TestSilentCallersKeepNobodyOut(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
 	a := start(t, withDoor(t, setup{servers: []member{s.member("s")}}))
-	a.admin.within = patience
+	a.operations.Within = patience
 	half := put("/_lameduck/on", "{}")
-	for i := range 3 * doorSockets {
-		c, err := net.Dial("tcp", a.admin.listener.Addr().String())
+	for i := range 3 * operationsSockets {
+		c, err := net.Dial("tcp", a.operations.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -127,7 +127,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+		ctx, cancel := context.WithTimeout(context.Background(), operations.AnswerWithin)
 		defer cancel()
 		c := &call{backend: "s", detach: true, carried: true}
 		if taken, err := l.call(ctx, c); taken || err == nil {
@@ -206,7 +206,7 @@
 	one := serveRaw(t, func(int) string { return ok200 })
 	two := serveRaw(t, func(int) string { return ok200 })
 	a := start(t, withDoor(t, setup{servers: []member{one.member("one"), two.member("two")}}))
-	a.admin.within = patience
+	a.operations.Within = patience
 	knock(t, a, put("/_backends/detach", `{"target":"one"}`))
 	for range 20 {
 		if x := a.do("GET", "/get/x", ""); x.status != 200 {
@@ -269,26 +269,7 @@
 		t.Errorf("%d descriptors to share out with no door", n)
 	}
 	cfg.Mgmt = "127.0.0.1:0"
-	if n := sharedSockets(cfg.shareable()) + ownSockets + doorSockets + 1; n != 256 {
+	if n := sharedSockets(cfg.shareable()) + ownSockets + operationsSockets + 1; n != 256 {
 		t.Errorf("%d descriptors in all parts together, 256 are there", n)
 	}
 }
-
-// A call that has come whole is not closed to make room for others, however late the server gets to it.
-func TestCallThatHasComeKeepsItsPlace(t *testing.T) {
-	s := serveRaw(t, func(int) string { return ok200 })
-	a := start(t, withDoor(t, setup{servers: []member{s.member("s")}}))
-	c, err := net.Dial("tcp", a.admin.listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	waitFor(t, "the connection", func() bool {
-		conns := a.admin.waiting.Conns()
-		if len(conns) == 0 {
-			return false
-		}
-		_, reads := conns[0].(*clientconn.Conn)
-		return reads
-	})
-}
--- /dev/null
+++ b/internal/agent/operations/server_test.go
@@ -0,0 +1,96 @@
+package operations
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"brookferry/internal/agent/clientconn"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 30 * time.Second
+
+// operated is an agent that is ready, and has no backend.
+type operated struct{}
+
+func (operated) Ready() bool { return true }
+func (operated) Move(context.Context, string, bool) (bool, error) {
+	return false, errors.New("no backend")
+}
+func (operated) Drain(bool) {}
+
+// A call that has come whole is not closed to make room for others, however late the server gets to it.
+func TestCallThatHasComeKeepsItsPlace(t *testing.T) {
+	s, err := New(t.Context(), "127.0.0.1:0", 1, operated{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// The connection is read, and the server gets to it late.
+	conn, err := clientconn.Listener{Listener: s.listener, Tasks: &s.readers}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.waiting.Track(conn, http.StateNew)
+	for end := time.Now().Add(patience); !conn.(*clientconn.Conn).Asked(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the call was not read")
+		}
+	}
+	time.Sleep(2 * clientconn.LeastWait) // it has waited for long enough to give way
+	s.waiting.MakeRoom()
+	if !s.waiting.Claim(conn) {
+		t.Error("closed to make room")
+	}
+	served := make(chan error, 1)
+	once := &oneConn{conn: conn, done: make(chan struct{})}
+	s.waiting.Track(conn, http.StateNew)
+	go func() { served <- s.server.Serve(once) }()
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	c.Close()
+	s.server.Close()
+	<-served
+	s.listener.Close()
+	s.readers.Wait()
+}
+
+// oneConn hands out one connection.
+type oneConn struct {
+	conn net.Conn
+	done chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.done
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error {
+	close(l.done)
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/agent/rare_stop_test.go
+++ b/internal/agent/rare_stop_test.go
@@ -223,9 +223,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.admin.within = patience
+	a.operations.Within = patience
 	entered, release := make(chan struct{}), make(chan struct{})
-	a.admin.record = func(context.Context, handover.Call) error { close(entered); <-release; return nil }
+	a.operations.Record = func(context.Context, handover.Call) error { close(entered); <-release; return nil }
 	now := make(chan time.Time)
 	close(now)
 	a.accept = func() <-chan time.Time { return now }
--- a/internal/agent/sockets.go
+++ b/internal/agent/sockets.go
@@ -5,11 +5,11 @@
 // request at a time, and a request seldom has more than one attempt out, so the parts are equal.
 // A tenth is left to clients past their part, which are refused and sent away.
 const (
-	leastSockets   = 64
-	ownSockets     = 24
-	defaultSockets = 1024
-	leastShared    = 8  // even where two processes share a small limit
-	doorSockets    = 12 // calls of operators at once, where they have a door
+	leastSockets      = 64
+	ownSockets        = 24
+	defaultSockets    = 1024
+	leastShared       = 8  // even where two processes share a small limit
+	operationsSockets = 12 // calls of operators at once, where they have a door
 )
 
 func sharedSockets(limit int) int {
--- a/internal/agent/successor.go
+++ b/internal/agent/successor.go
@@ -51,8 +51,8 @@
 	if err != nil {
 		a.log.Error("nothing can be recorded for a successor yet", "error", err)
 	}
-	if a.admin != nil {
-		a.admin.record = s.Keep
+	if a.operations != nil {
+		a.operations.Record = s.Keep
 	}
 	a.discovery.Record = a.recordList
 	a.loop.handOn = s.offer
