Wait for a clock's first step before a test puts the next plan in force

Cause: TestWallClockStepsWhileItServes steps the clock from a timer's goroutine and puts another plan in force after the answer; nothing joined the two, and the race detector says so in each run (inject.go:71 against inject.go:93).

Change: the test waits for the timer's goroutine. The half of a request that two tests send is one function.

--- a/cmd/vetchhaven/wall_test.go
+++ b/cmd/vetchhaven/wall_test.go
@@ -26,6 +26,21 @@
 	c.told = make(chan struct{})
 }
 
+// halfRequest sends the first part of a request, so that the connection stays open through a shutdown for the rest.
+func halfRequest(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // it is read
+	return c
+}
+
 // A shutdown's times are spans of real time: no step of the wall clock, nor two, keeps a request from its answer.
 func TestWallClockStepsDuringAShutdown(t *testing.T) {
 	for _, steps := range [][]time.Duration{{time.Hour}, {-time.Hour}, {2 * time.Second}, {-2 * time.Second}, {time.Hour, -time.Hour}, {-time.Hour, time.Hour}} {
@@ -35,16 +50,7 @@
 			backend.took = 300 * time.Millisecond
 			d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
 			awaitReady(t, d.addr)
-			c, err := net.Dial("tcp", d.addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			// Half of a request, so that the connection stays open for what comes after the signal.
-			if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half\r\n"); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(50 * time.Millisecond)
+			c := halfRequest(t, d.addr)
 			d.signal(t, syscall.SIGTERM)
 			await(t, "the stop", patience, func() bool { return strings.Contains(d.lines(t), "msg=stopping") })
 			for _, step := range steps {
@@ -74,15 +80,7 @@
 			backend.took = time.Hour
 			d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
 			awaitReady(t, d.addr)
-			c, err := net.Dial("tcp", d.addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half\r\n"); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(50 * time.Millisecond)
+			c := halfRequest(t, d.addr)
 			d.signal(t, syscall.SIGTERM)
 			kill := time.Now().Add(3700 * time.Millisecond) // the longest deadline counts as 3 s at most
 			await(t, "the stop", patience, func() bool { return strings.Contains(d.lines(t), "msg=stopping") })
@@ -211,8 +209,10 @@
 			req.Header.Set("X-Trace-Id", "1")
 			req.Header.Set("X-Expires-In", "1.5")
 			began := time.Now()
-			time.AfterFunc(500*time.Millisecond, step)
+			stepped := make(chan struct{})
+			time.AfterFunc(500*time.Millisecond, func() { defer close(stepped); step() })
 			resp, err := alone.Do(req)
+			<-stepped
 			if err != nil {
 				t.Fatal(err)
 			}
