Have tests of the record share one way of counting, and see that room is made

Need: the 30 requests that tell whether a detach holds stood three times; TestNoRoomAtTheCostOfARequest did not see that another connection gave way in the place of the one that was asked for.

Change: reaching counts them; the test has a second connection, which has to go.

--- a/cmd/vetchhaven/folder_test.go
+++ b/cmd/vetchhaven/folder_test.go
@@ -54,17 +54,23 @@
 	t.Helper()
 	younger := deploy(t, r.discovery.addr, plan, r.ln, r.dir)
 	younger.awaitCall(t, 6*time.Second, "/_ready", "")
-	was := r.one.seen.Load()
 	r.older.signal(t, syscall.SIGTERM)
 	if err := r.older.cmd.Wait(); err != nil {
 		t.Error(err)
 	}
+	r.older = younger
+	return r.reaching(t, younger)
+}
+
+// reaching sends 30 requests, and reports how many of them reach backend one.
+func (r *replaced) reaching(t *testing.T, d *deployed) int64 {
+	t.Helper()
+	was := r.one.seen.Load()
 	for range 30 {
-		if status, err := request(alone, younger.addr, "/get/x"); status != 200 {
+		if status, err := request(alone, d.addr, "/get/x"); status != 200 {
 			t.Errorf("%d, %v", status, err)
 		}
 	}
-	r.older = younger
 	return r.one.seen.Load() - was
 }
 
@@ -284,13 +290,7 @@
 	if err := r.older.cmd.Wait(); err != nil {
 		t.Error(err)
 	}
-	was := r.one.seen.Load()
-	for range 30 {
-		if status, err := request(alone, younger.addr, "/get/x"); status != 200 {
-			t.Errorf("%d, %v", status, err)
-		}
-	}
-	if n := r.one.seen.Load() - was; n > 0 {
+	if n := r.reaching(t, younger); n > 0 {
 		t.Errorf("%d of 30 requests reach the detached backend", n)
 	}
 }
@@ -316,13 +316,7 @@
 			if err := r.older.cmd.Wait(); err != nil {
 				t.Error(err)
 			}
-			was := r.one.seen.Load()
-			for range 30 {
-				if status, err := request(alone, younger.addr, "/get/x"); status != 200 {
-					t.Errorf("%d, %v", status, err)
-				}
-			}
-			if n := r.one.seen.Load() - was; n > 0 {
+			if n := r.reaching(t, younger); n > 0 {
 				t.Errorf("%d of 30 requests reach the detached backend", n)
 			}
 		})
--- a/internal/agent/clientconn/conn_test.go
+++ b/internal/agent/clientconn/conn_test.go
@@ -99,10 +99,17 @@
 		if c.abortUnlessAsked() || c.closeUnlessReading() { // as if it had come after they looked
 			t.Errorf("seen by the server %v: closed in the moment in which it came", seen)
 		}
+		idle, other := net.Pipe()
+		defer other.Close()
+		rests := New(idle)
+		l.waiting[rests] = waitingIn{since: time.Now().Add(-time.Minute)} // rests for less long, and gives way in its place
 		l.MakeRoom()
 		if !l.Claim(c) {
 			t.Errorf("seen by the server %v: closed", seen)
 		}
+		if l.Claim(rests) {
+			t.Errorf("seen by the server %v: no other made room", seen)
+		}
 		c.Close()
 		near.Close()
 		<-received
