--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -182,6 +183,45 @@
 	}
 }
 
+// An attempt came when the kernel had it: what the lab is busy with itself is not held against the agent.
+func TestAttemptComesBeforeTheLabSeesToIt(t *testing.T) {
+	l, err := New(options(t, "real", small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.hosts[0].gates[0].Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const busy = 500 * time.Millisecond
+	l.mu.Lock()
+	sent := l.now()
+	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a\r\n\r\n")
+	time.Sleep(busy)
+	l.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		for _, a := range l.attempts {
+			if took := a.came - sent; took > busy/2 {
+				t.Errorf("it came %v after it was sent", took)
+			}
+		}
+		seen := len(l.attempts) > 0
+		l.mu.Unlock()
+		if seen {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("it never came")
+		}
+	}
+}
+
 // An agent that goes on sending to a zone it can't reach is seen to, by what waits and by connections that don't come
 // up; without a fault between zones nothing is told of it.
 func TestZoneThatIsNeverLeft(t *testing.T) {
