--- a/internal/agent/clientconn/conn.go
+++ b/internal/agent/clientconn/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"brookferry/internal/tcpinfo"
 )
 
 // Conn is a connection of a client, under net/http's. A task of its own is the only one that reads the socket, ahead of the server:
@@ -124,7 +126,7 @@
 	})
 	defer look.Stop()
 	c.changed.Wait()
-	if hungUp(c.Conn) {
+	if tcpinfo.HungUp(c.Conn) {
 		c.left()
 	}
 }
@@ -136,7 +138,7 @@
 	if !ok || !c.came.IsZero() || q.Queued() == 0 {
 		return 0
 	}
-	return min(q.Queued(), sinceReceived(c.Conn))
+	return min(q.Queued(), tcpinfo.SinceReceived(c.Conn))
 }
 
 // begin notes when a request began to come. The lock is held.
--- a/internal/agent/clientconn/tcpinfo.go
+++ b/internal/tcpinfo/tcpinfo.go
@@ -1,4 +1,6 @@
-package clientconn
+// Package tcpinfo tells what the kernel knows of a TCP connection and a read does not show: a hang-up behind bytes that nobody has
+// read, and when data came that is read later. See tcp(7), TCP_INFO.
+package tcpinfo
 
 import (
 	"net"
@@ -9,8 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// kernelInfo is what the kernel says of a connection; nil: nothing, since it is no TCP socket.
-func kernelInfo(c net.Conn) *unix.TCPInfo {
+// get returns what the kernel says of a connection; nil: nothing, since it is no TCP socket.
+func get(c net.Conn) *unix.TCPInfo {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
@@ -31,15 +33,15 @@
 // hungUpStates are the states of a connection whose other side has ended its sending, or reset it.
 var hungUpStates = []uint8{unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING}
 
-// hungUp reports whether the other side has ended its sending, or reset the connection, also behind bytes that nobody has read.
-func hungUp(c net.Conn) bool {
-	info := kernelInfo(c)
+// HungUp reports whether the other side has ended its sending, or reset the connection, also behind bytes that nobody has read.
+func HungUp(c net.Conn) bool {
+	info := get(c)
 	return info != nil && slices.Contains(hungUpStates, info.State)
 }
 
-// sinceReceived is how long ago the latest data came; 0: that is not known.
-func sinceReceived(c net.Conn) time.Duration {
-	info := kernelInfo(c)
+// SinceReceived is how long ago the latest data came, to some milliseconds; 0: just now, or that is not known.
+func SinceReceived(c net.Conn) time.Duration {
+	info := get(c)
 	if info == nil {
 		return 0
 	}
