Date attempts by when the kernel had them, and allow for no lateness of the lab

Cause: an attempt, a client's last byte and its end were dated once the lab had its lock.

Change: the clock is read before the lock, an attempt counts from when the kernel had its last byte; the allowance goes, with its row in TestRules, so the two rules are as strict as the clauses again.

--- a/internal/lab/backends.go
+++ b/internal/lab/backends.go
@@ -19,6 +19,7 @@
 	"brookferry/internal/lab/link"
 	"brookferry/internal/lab/rng"
 	"brookferry/internal/lab/world"
+	"brookferry/internal/tcpinfo"
 )
 
 // host is a backend: its machine, and a listener for each agent.
@@ -142,7 +143,7 @@
 	host   *host
 	agent  int
 	conn   *backendConn
-	came   time.Duration
+	came   time.Duration // its last byte, to the kernel
 	reply  chan answer
 	stated time.Duration // that the agent says it will wait; below 0: it says nothing
 	gone   bool          // its connection is closed
@@ -169,6 +170,7 @@
 		a.stated = seconds(s)
 	}
 	l := h.lab
+	a.came = l.now() - tcpinfo.SinceReceived(c.Conn) // also where the lab sees to it later
 	l.mu.Lock()
 	now := l.now()
 	if l.closing {
@@ -176,7 +178,7 @@
 		return
 	}
 	l.attempt++
-	a.number, a.came = l.attempt, now
+	a.number = l.attempt
 	print := fingerprint(r.Method, r.URL.RequestURI(), r.Header.Get("Idempotency-Key"), body)
 	probe := r.Method == http.MethodGet && (r.URL.Path == "/ping" || r.URL.Path == "/_load")
 	if !probe {
@@ -191,7 +193,7 @@
 			}
 		}
 	}
-	l.send(now, a, print, probe)
+	l.send(now, a.came, a, print, probe)
 	l.mu.Unlock()
 	select {
 	case ans := <-a.reply:
@@ -223,8 +225,8 @@
 	return d.Sum64()
 }
 
-// send takes an attempt over the network to its machine. The lock is held.
-func (l *Lab) send(now time.Duration, a *attempt, print uint64, probe bool) {
+// send takes an attempt over the network, which it reached at a time, to its machine. The lock is held.
+func (l *Lab) send(now, reached time.Duration, a *attempt, print uint64, probe bool) {
 	h := a.host
 	l.attempts[a.number] = a
 	fresh := !a.conn.used
@@ -233,7 +235,7 @@
 		if !probe {
 			l.check.Note(now, a.id, "network", fmt.Sprintf("the attempt to %s does not get through", h.m.ID))
 		}
-		l.park(a.party(), h.party(), func(now time.Duration) { l.send(now, a, print, probe) })
+		l.park(a.party(), h.party(), func(now time.Duration) { l.send(now, now, a, print, probe) })
 		return
 	}
 	if a.gone {
@@ -245,7 +247,7 @@
 		d += 2 * l.way(a.party(), h.party())
 	}
 	if !probe {
-		a.known = l.check.Arrive(now, check.Arrival{Attempt: a.number, ID: a.id, Agent: a.agent, Backend: h.m.ID,
+		a.known = l.check.Arrive(reached, check.Arrival{Attempt: a.number, ID: a.id, Agent: a.agent, Backend: h.m.ID,
 			Cell: h.m.Cell, Print: print, Came: a.came, Stated: a.stated})
 	}
 	switch {
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -135,7 +135,6 @@
 	taken     int
 	closedNew []Violation
 	count     int
-	late      time.Duration // the observer, at the most
 }
 
 // Keep is how long a finished request is remembered: longer than the longest window.
@@ -149,9 +148,6 @@
 	return &Checker{rules: r, requests: map[string]*Request{}, told: map[toldKey]told{}, excused: map[int][]span{}, record: record}
 }
 
-// Late says how late the observer was with something. What it sees of single attempts is no more exact than that.
-func (c *Checker) Late(d time.Duration) { c.late = max(c.late, d) }
-
 func (c *Checker) breaks(rule string, at time.Duration, agent int, r *Request, format string, args ...any) {
 	v := Violation{Rule: rule, At: at, Agent: agent, Text: fmt.Sprintf(format, args...)}
 	c.count++
@@ -260,7 +256,7 @@
 	Backend string
 	Cell    int
 	Print   uint64
-	Came    time.Duration // when it was sent, if the network has held it up since
+	Came    time.Duration // when it was sent: the network may have held it up since
 	Stated  time.Duration // how long the agent will wait, as it says; below 0: it doesn't say
 }
 
@@ -270,7 +266,7 @@
 	deadlineSlack = 150 * time.Millisecond
 )
 
-// Arrive checks an attempt and reports whether the backend is to take it. A visitor's has no record.
+// Arrive checks an attempt that reaches its backend now, and reports whether that is to take it. A visitor's has no record.
 func (c *Checker) Arrive(now time.Duration, a Arrival) (known bool) {
 	r := c.requests[a.ID]
 	if t := c.told[toldKey{a.Agent, a.Backend}]; t.away > 0 && a.Came > c.until(a.Agent, t.away) {
@@ -291,10 +287,10 @@
 		c.breaks(RuleUnsent, now, a.Agent, r, "agent %d sent on a request of agent %d", a.Agent, r.Agent)
 	}
 	excused := c.excusedIn(r.Agent, r.Sent, a.Came)
-	if r.over && a.Came > r.ended+goneSlack+c.rules.Slack+c.late && !excused {
+	if r.over && a.Came > r.ended+goneSlack+c.rules.Slack && !excused {
 		c.breaks(RuleGone, now, a.Agent, r, "sent to %s %v after the client's end", a.Backend, (a.Came - r.ended).Round(time.Millisecond))
 	}
-	if left := r.Sent + r.GiveUp - a.Came; r.taken && a.Stated > 0 && a.Stated > left+deadlineSlack+c.rules.Slack+c.late && !excused {
+	if left := r.Sent + r.GiveUp - a.Came; r.taken && a.Stated > 0 && a.Stated > left+deadlineSlack+c.rules.Slack && !excused {
 		c.breaks(RuleDeadline, now, a.Agent, r, "%s is told of %v, the client has %v left", a.Backend, a.Stated, left)
 	}
 	class := c.rules.Classes[r.Class]
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -94,7 +94,6 @@
 		{"through another agent", RuleUnsent, []step{open(0, 2), func(c *Checker) { c.Arrive(ms, Arrival{ID: "r", Agent: 2, Backend: "x", Print: 7}) }}},
 		{"after its end", RuleGone, []step{open(0, 0), end(100*ms, Left), arrive(200*ms+slack+ms, "x", 0)}},
 		{"at its end", "", []step{open(0, 0), end(100*ms, Left), arrive(200*ms+slack, "x", 0)}},
-		{"told of more, by a late observer's look", "", []step{func(c *Checker) { c.Late(20 * ms) }, open(0, 0), stated(500*ms, 500*ms+150*ms+slack+20*ms), end(600*ms, Served)}},
 		{"told of more than is left", RuleDeadline, []step{open(0, 0), stated(500*ms, 500*ms+150*ms+slack+ms)}},
 		{"told of what is left, and the slack", "", []step{open(0, 0), stated(500*ms, 500*ms+150*ms+slack), end(600*ms, Served)}},
 		{"pushed over", RuleCold, []step{func(c *Checker) { c.Fell(ms, "x", 0.7) }}},
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -238,9 +238,9 @@
 		}
 		time.Sleep(wait)
 	}
+	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
 	p.agent.open--
 	l.tally.End(check.Outcome{Intended: p.intended, End: now, Answer: end, InAim: end == check.Served && now <= p.intended+c.aim,
 		Worth: p.worth, Class: p.class, Tenant: p.tenant, Zone: p.agent.n % len(l.Scenario.Fleet.Zones), Tries: p.tries})
@@ -277,8 +277,9 @@
 	} else if shut {
 		time.Sleep(connectTimeout)
 	}
+	over := l.now()
 	l.mu.Lock()
-	l.check.End(l.now(), id, answer)
+	l.check.End(over, id, answer)
 	l.at(l.now()+check.Keep, func(time.Duration) { delete(a.plays, id) }) // a late attempt still has its work
 	l.mu.Unlock()
 	return answer, wait
@@ -343,8 +344,9 @@
 	if _, err := c.Write(b); err != nil {
 		return check.ClosedNew, 0, false // not taken whole
 	}
+	taken := l.now()
 	l.mu.Lock()
-	l.check.Take(l.now(), id)
+	l.check.Take(taken, id)
 	l.mu.Unlock()
 	c.used = true
 	_, err := c.read.Peek(1)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -181,7 +181,6 @@
 
 func (l *Lab) lateBy(d time.Duration) {
 	_ = l.late.RecordValue(min(max(1, d.Microseconds()), maxLate)) // within its range
-	l.check.Late(d)
 }
 
 const maxLate = int64(time.Minute / time.Microsecond)
