--- a/bench_test.go
+++ b/bench_test.go
@@ -84,3 +84,31 @@
 		t.Errorf("%.1f allocations a request", n)
 	}
 }
+
+// BenchmarkStepBySize plays requests in fleets of two sizes: what a step costs must not grow with what did not change.
+func BenchmarkStepBySize(b *testing.B) {
+	for _, size := range []struct{ agents, backends int }{{300, 200}, {900, 3200}} {
+		b.Run(fmt.Sprint(size.backends), func(b *testing.B) {
+			s := settings()
+			s.Balancers = size.agents
+			lb, err := brookferry.New(s, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := time.Hour
+			lb.Step(now, []brookferry.Event{brookferry.List{Kind: brookferry.ListFull, Backends: many(size.backends)}})
+			for i := 0; b.Loop(); i++ {
+				now += 23 * ms
+				playOne(lb, &now, i)
+			}
+		})
+	}
+}
+
+// many makes n backends in three zones.
+func many(n int) (list []brookferry.Backend) {
+	for i := range n {
+		list = append(list, brookferry.Backend{ID: fmt.Sprint("s", i), Zone: i % 3, Cell: i / 4})
+	}
+	return list
+}
