Count backends as they change, and look at the few that are not settled in each step

Change: the sums are a type of their own. A backend that is up, warm, not ejected and not down is settled: its zone counts it, and the attempts out there. Any change (start, ejection, a death, a list, an operators' call) has it looked at again until it settles.

--- a/attempts.go
+++ b/attempts.go
@@ -60,9 +60,7 @@
 func (b *Balancer) enter(r *request, a *attempt) {
 	a.large = r.coming
 	if !r.coming {
-		a.at = true
-		a.b.out = append(a.b.out, a)
-		b.inFlight++
+		b.book(a, true)
 		if !a.b.cold {
 			b.warmOut++ // until measure counts anew
 		}
@@ -73,9 +71,7 @@
 // network's.
 func (b *Balancer) leave(a *attempt) {
 	if a.at {
-		a.at = false
-		a.b.out = without(a.b.out, a)
-		b.inFlight--
+		b.book(a, false)
 	}
 }
 
@@ -90,9 +86,8 @@
 	r.came, r.deadline, r.aim = b.now, b.now+left, b.now+min(c.Aim, left)
 	for _, a := range r.attempts {
 		if a.open && !a.at {
-			a.sent, a.at = b.now, true
-			a.b.out = append(a.b.out, a)
-			b.inFlight++
+			a.sent = b.now
+			b.book(a, true)
 		}
 	}
 }
--- a/cold.go
+++ b/cold.go
@@ -16,6 +16,7 @@
 // random part of one request below nothing: each of many agents may send it one at once, and all
 // together would push it over.
 func (b *Balancer) start(t *backend, at time.Duration) {
+	b.unsettle(t)
 	t.warmFrom, t.cold, t.seen, t.slow, t.samples = at, true, false, 1, 0
 	t.budget, t.budgetAt = -b.rng.Float64(), b.now
 }
--- a/health.go
+++ b/health.go
@@ -102,7 +102,10 @@
 	if math.Pow(usual, t.row) < chanceEject {
 		b.strike(t, a, c)
 	}
-	t.down = t.down || res != Errored && len(t.out) == 0 && math.Pow(usual, t.row) < chanceDead
+	if res != Errored && len(t.out) == 0 && math.Pow(usual, t.row) < chanceDead {
+		b.unsettle(t)
+		t.down = true
+	}
 }
 
 // strike ejects a backend for a while that doubles with each further strike. Departure: one that
@@ -135,6 +138,7 @@
 }
 
 func (b *Balancer) eject(t *backend, unit time.Duration) {
+	b.unsettle(t)
 	t.strikes = min(t.strikes+1, strikeCap)
 	t.struckAt = b.now
 	t.ejected = b.now + time.Duration(math.Exp2(t.strikes-1)*(0.75+0.5*b.rng.Float64())*float64(unit))
--- a/list.go
+++ b/list.go
@@ -17,12 +17,13 @@
 		if t == nil {
 			t = &backend{Backend: n, key: keyOf(n.ID), slow: 1, rank: keyOf(fmt.Sprint(n.ID, b.s.Self))}
 			b.byID[n.ID], b.byKey[t.key] = t, t
-			b.backends = append(b.backends, t)
+			b.backends, b.unsettled = append(b.backends, t), append(b.unsettled, t)
 			if n.Started > 0 {
 				b.start(t, n.Started)
 			}
 			continue
 		}
+		b.unsettle(t)
 		if n.Started > t.Started {
 			b.start(t, max(n.Started, t.warmFrom))
 			t.strikes, t.ejected, t.down = 0, 0, false
@@ -33,6 +34,7 @@
 	// One that is gone is kept no longer than its attempts are out: fleets are replaced again and again.
 	b.backends = slices.DeleteFunc(b.backends, func(t *backend) bool {
 		if e.Kind != ListDelta && !listed[t.ID] {
+			b.unsettle(t)
 			t.State = Gone
 		}
 		over := t.State == Gone && len(t.out) == 0
@@ -42,4 +44,5 @@
 		}
 		return over
 	})
+	b.unsettled = slices.DeleteFunc(b.unsettled, func(t *backend) bool { return b.byID[t.ID] != t })
 }
--- a/operations.go
+++ b/operations.go
@@ -43,6 +43,7 @@
 		b.calls.detached[e.Backend] = Up
 		if t := b.byID[e.Backend]; t != nil {
 			b.calls.detached[e.Backend] = t.State
+			b.unsettle(t)
 			t.State = max(t.State, Draining) // no new attempt; what is out may finish
 		}
 		b.measure()
--- a/state.go
+++ b/state.go
@@ -42,6 +42,7 @@
 	down                       bool          // its process seems to have died since the last answer
 	spell, mutes               int           // attempts without a word in its zone's present spell of silence
 	cold                       bool
+	settled                    bool    // counted by its zone
 	budget                     float64 // work that may be sent while it is cold
 	budgetAt                   time.Duration
 }
@@ -129,6 +130,7 @@
 	now     time.Duration
 	actions []Action
 
+	sums
 	backends []*backend // in the order in which they were first listed
 	byID     map[string]*backend
 	requests map[string]*request
@@ -140,13 +142,8 @@
 	tokens   float64 // the retry bucket
 	classes  []classState
 	inFlight int
-	stuck    int     // of these, on backends that are not counted in capacity
 	perBack  float64 // attempts that all agents may have in flight together, per backend that is up
 	share    float64 // this agent's part of them
-	up       int     // backends that the list says are up
-	capacity float64 // their number, each counted by its warmth
-	warm     float64 // of it, what is warm already
-	warmOut  int     // attempts in flight there
 	delay    float64 // running mean of latency over aim
 	ramp     float64 // the part of the stated time that backends seem to need to get warm
 	believed float64 // the multiple of its sure share up to which a cold backend's answers are believed
--- a/zone.go
+++ b/zone.go
@@ -6,25 +6,27 @@
 
 // zone is what is known of a zone as a whole.
 type zone struct {
-	number  int
-	up      int           // its backends that the list says are up
-	odds    float64       // log odds that it is lost; 0: nothing speaks for that
-	spell   int           // counts times at which something began to
-	began   time.Duration // when the attempt was sent that did
-	dull    float64       // running share of attempts without a word
-	heardAt time.Duration // latest answer
-	left    bool
-	since   time.Duration // left then, the last time
-	rounds  float64       // times left, fading
-	token   int64         // of the timer of the next probe
-	hits    int           // probes answered in a row
-	canary  bool          // one request may go there
-	back    time.Duration // used again since; 0: it has its full part
-	seen    bool          // left for what this agent saw itself, not by what it was told
-	words   []word        // what others told of its loss, a peer once
-	trip    time.Duration // round trip from this agent's zone, as steering takes it; 0: not known
-	tight   time.Duration // until then requests that may go elsewhere keep out of it
-	pace    float64       // running mean of what its answers take, as a multiple of the expected
+	number     int
+	up         int           // its backends that the list says are up
+	settled    int           // of these, those that are counted here from step to step ...
+	settledOut int           // ... and the attempts in flight there
+	odds       float64       // log odds that it is lost; 0: nothing speaks for that
+	spell      int           // counts times at which something began to
+	began      time.Duration // when the attempt was sent that did
+	dull       float64       // running share of attempts without a word
+	heardAt    time.Duration // latest answer
+	left       bool
+	since      time.Duration // left then, the last time
+	rounds     float64       // times left, fading
+	token      int64         // of the timer of the next probe
+	hits       int           // probes answered in a row
+	canary     bool          // one request may go there
+	back       time.Duration // used again since; 0: it has its full part
+	seen       bool          // left for what this agent saw itself, not by what it was told
+	words      []word        // what others told of its loss, a peer once
+	trip       time.Duration // round trip from this agent's zone, as steering takes it; 0: not known
+	tight      time.Duration // until then requests that may go elsewhere keep out of it
+	pace       float64       // running mean of what its answers take, as a multiple of the expected
 }
 
 // word is a peer's word that a zone is lost, at the time at which it came.
