Show that a log whose reader reads nothing keeps the agent from its end

Seen: with a full pipe as standard error and a reader that stays, the agent serves and then never heeds SIGTERM: its line on serving waits in write(2) (agent.go, Run), and each later line of the loop would wait behind it, with all requests. What comes until the kill is lost.

--- a/cmd/vetchhaven/log_test.go
+++ b/cmd/vetchhaven/log_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"os"
 	"os/exec"
 	"syscall"
@@ -50,3 +51,58 @@
 		t.Error(err)
 	}
 }
+
+// Whoever reads the log may stay and read nothing: the agent starts, serves and ends all the same.
+func TestLogThatIsNotRead(t *testing.T) {
+	backend := newStandIn(t)
+	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	d.signal(t, syscall.SIGKILL)
+	_ = d.cmd.Wait()
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer read.Close()
+	fill(t, write)
+	unread := exec.Command(d.cmd.Path)
+	unread.Env, unread.Stderr = d.cmd.Env, write
+	if err := unread.Start(); err != nil {
+		t.Fatal(err)
+	}
+	write.Close()
+	defer func() { _ = unread.Process.Kill() }()
+	ended := make(chan error, 1)
+	go func() { ended <- unread.Wait() }()
+	awaitReady(t, d.addr)
+	if status, err := request(alone, d.addr, "/get/x"); status != http.StatusOK {
+		t.Errorf("%d, %v", status, err)
+	}
+	if err := unread.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(3700 * time.Millisecond): // the platform kills then
+		t.Error("it has not ended when the platform kills")
+	}
+}
+
+// fill writes to a pipe until it takes no more.
+func fill(t *testing.T, pipe *os.File) {
+	t.Helper()
+	if err := pipe.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	for part := make([]byte, 4096); ; {
+		if _, err := pipe.Write(part); err != nil {
+			break
+		}
+	}
+	if err := syscall.SetNonblock(int(pipe.Fd()), false); err != nil { // as a program gets it
+		t.Fatal(err)
+	}
+}
