Have nobody wait for the log's reader

Lines were written by whoever logs, under the handler's lock.

Change: lines pass through a queue of 256 in the new package logging, and one goroutine writes them; what finds it full is dropped and counted, and a line says so. At the program's end what is queued has 50 ms. The product's agent and hub log by it too. No module of the registry was taken: the queue is 20 lines, and those for slog bring forms and levels of their own.

--- a/cmd/martenbeam/agent.go
+++ b/cmd/martenbeam/agent.go
@@ -9,6 +9,7 @@
 
 	"brookferry/internal/agent"
 	"brookferry/internal/config"
+	"brookferry/internal/logging"
 	"brookferry/internal/membership"
 	"brookferry/internal/settings"
 )
@@ -24,31 +25,33 @@
 	LogFormat string `help:"Form of the log: text or json." enum:"text,json" default:"text"`
 }
 
-// logger writes to w as the flags say.
-func (c *logFlags) logger(w io.Writer) *slog.Logger {
+// logger writes to w as the flags say. It is to be closed.
+func (c *logFlags) logger(w io.Writer) *logging.Logger {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		panic(err) // the flag takes no other word
 	}
 	o := &slog.HandlerOptions{Level: level}
 	if c.LogFormat == "json" {
-		return slog.New(slog.NewJSONHandler(w, o))
+		return logging.New(w, slog.NewJSONHandler, o)
 	}
-	return slog.New(slog.NewTextHandler(w, o))
+	return logging.New(w, slog.NewTextHandler, o)
 }
 
 func (c *agentCmd) Run(o *output) error {
+	log := c.logger(o.stderr)
+	defer log.Close()
 	source := agent.Platform(os.Getenv)
 	source.Join = membership.Shares
 	if c.Config != "" {
 		var err error
-		if source, err = membership.File(c.Config, c.logger(o.stderr)); err != nil {
+		if source, err = membership.File(c.Config, log.Logger); err != nil {
 			return usageError{err}
 		}
 	} else if os.Getenv("PROXY_CONFIG") == "" {
 		return usageError{fmt.Errorf("no configuration: name a file with --config or MARTENBEAM_CONFIG, or set PROXY_CONFIG as the platform does")}
 	}
-	return agent.Serve(c.logger(o.stderr), source)
+	return agent.Serve(log.Logger, source)
 }
 
 type configCmd struct {
--- a/cmd/martenbeam/hub.go
+++ b/cmd/martenbeam/hub.go
@@ -25,7 +25,9 @@
 	signal.Ignore(syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	h, err := hubd.New(cfg, membership.Version(), c.logger(o.stderr))
+	log := c.logger(o.stderr)
+	defer log.Close()
+	h, err := hubd.New(cfg, membership.Version(), log.Logger)
 	if err != nil {
 		return err
 	}
--- a/cmd/vetchhaven/main.go
+++ b/cmd/vetchhaven/main.go
@@ -6,12 +6,17 @@
 	"os"
 
 	"brookferry/internal/agent"
+	"brookferry/internal/logging"
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := agent.Serve(log, agent.Platform(os.Getenv)); err != nil {
+	log := logging.New(os.Stderr, slog.NewTextHandler, nil)
+	err := agent.Serve(log.Logger, agent.Platform(os.Getenv))
+	if err != nil {
 		log.Error("vetchhaven", "error", err)
+	}
+	log.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/internal/agent/logs_test.go
+++ b/internal/agent/logs_test.go
@@ -20,7 +20,7 @@
 	}
 	used := map[string]bool{"agent": true} // given to the logger itself
 	var files []string
-	for _, pattern := range []string{"*.go", "*/*.go", "../fleet/*.go", "../fleet/*/*.go", "../residency/*.go", "../settings/*.go", "../membership/*.go"} {
+	for _, pattern := range []string{"*.go", "*/*.go", "../fleet/*.go", "../fleet/*/*.go", "../residency/*.go", "../settings/*.go", "../membership/*.go", "../logging/*.go"} {
 		found, err := filepath.Glob(pattern)
 		if err != nil || len(found) == 0 {
 			t.Fatal(found, err)
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,85 @@
+package logging
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blocked is a writer that lets nothing through until it is opened.
+type blocked struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	err  error
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.text.Write(p)
+	return len(p), b.err
+}
+
+// Lines come whole and in their order, and the last before the program's end too.
+func TestLinesInOrder(t *testing.T) {
+	var out blocked
+	l := New(&out, slog.NewTextHandler, nil)
+	for i := range 200 {
+		l.Info("line", "n", i)
+	}
+	l.Close()
+	lines := strings.Split(strings.TrimSuffix(out.text.String(), "\n"), "\n")
+	if len(lines) != 200 {
+		t.Fatalf("%d lines", len(lines))
+	}
+	for i, line := range lines {
+		if !strings.HasSuffix(line, fmt.Sprint("n=", i)) {
+			t.Errorf("line %d: %s", i, line)
+		}
+	}
+}
+
+// Nobody waits for a writer that takes nothing; what is missing is counted, and neither end waits for it for long.
+func TestWriterThatTakesNothing(t *testing.T) {
+	var out blocked
+	out.mu.Lock()
+	l := New(&out, slog.NewJSONHandler, nil)
+	const lines = queueLength + 100
+	for i := range lines {
+		l.Info("line", "n", i)
+	}
+	began := time.Now()
+	out.err = errors.New("no space left") // changes nothing
+	out.mu.Unlock()
+	l.Close()
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("closed after %v", took)
+	}
+	out.mu.Lock()
+	text := out.text.String()
+	out.mu.Unlock()
+	written := strings.Count(text, `"msg":"line"`)
+	if missing := fmt.Sprintf(`"msg":"log lines dropped","count":%d`, lines-written); written < queueLength || !strings.Contains(text, missing) {
+		t.Errorf("%d of %d lines, without %s", written, lines, missing)
+	}
+}
+
+// A writer that takes nothing until the end keeps the program from nothing.
+func TestCloseBesideAWriterThatTakesNothing(t *testing.T) {
+	var out blocked
+	out.mu.Lock()
+	l := New(&out, slog.NewTextHandler, nil)
+	l.Info("line")
+	began := time.Now()
+	l.Close()
+	if took := time.Since(began); took < flushWithin || took > 2*time.Second {
+		t.Errorf("closed after %v", took)
+	}
+	out.mu.Unlock()
+	<-l.queue.written
+}
