Play answers that come before an upload's last byte

Change: a backend answers 200 after half of a large body, with the rest soon, late or never. The client gets an answer in each, and never 200.

--- /dev/null
+++ b/cmd/vetchhaven/upload_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/inject"
+)
+
+// A backend starts a request with its last byte: what it answers before that answers nothing that was asked, whether the rest of
+// the body comes then, late, or never.
+func TestAnswerBeforeTheLastByte(t *testing.T) {
+	const length, first = 200_000, 100_000
+	for name, c := range map[string]struct {
+		answer string // the backend's, before it has read the body
+		rest   time.Duration
+	}{
+		"the rest comes soon": {answer: "early", rest: 50 * time.Millisecond},
+		"the rest comes late": {answer: "early", rest: 800 * time.Millisecond},
+		"an empty answer":     {rest: 300 * time.Millisecond},
+		"no rest comes":       {answer: "early", rest: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			early := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost {
+					return
+				}
+				rc := http.NewResponseController(w)
+				if err := rc.EnableFullDuplex(); err != nil {
+					t.Error(err)
+				}
+				w.Header().Set("Content-Length", fmt.Sprint(len(c.answer)))
+				_, _ = io.WriteString(w, c.answer) // an agent that has left shows below
+				_ = rc.Flush()
+				_, _ = io.Copy(io.Discard, r.Body)
+			})
+			list := listed{ID: "s", Addr: early, Zone: "a", Kind: "m", State: "ready", Weight: 1}
+			d := deploy(t, newCatalog(t, list).addr, inject.Plan{}, nil, "")
+			awaitReady(t, d.addr)
+			conn, err := net.Dial("tcp", d.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			began := time.Now()
+			_, err = fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: early\r\nX-Expires-In: 1\r\nContent-Length: %d\r\n\r\n%s",
+				length, strings.Repeat("x", first))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.rest >= 0 {
+				time.Sleep(c.rest)
+				_, _ = io.WriteString(conn, strings.Repeat("x", length-first)) // it may have its answer already
+			}
+			if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer after %v: %v", time.Since(began), err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				t.Errorf("served after %v", time.Since(began))
+			}
+		})
+	}
+}
