--- a/zones_test.go
+++ b/zones_test.go
@@ -289,3 +289,28 @@
 		t.Error("old news is told")
 	}
 }
+
+// A zone that comes back cold is probed by a whole fleet, and probes are work too: all of them together take little of what a
+// cold backend may be sent beside requests.
+func TestProbesOfAFleetAreLittleWork(t *testing.T) {
+	const agents, span = 100, 6 * time.Second
+	const probe, request = 0.72, 84.0 // ms of work: the dearest probe beside the cheapest request of the operators' site
+	probed, perZone := 0, 3
+	for n := range uint64(agents) {
+		z := newZoned(t, n+1, func(s *brookferry.Settings) { s.Balancers = agents })
+		z.run(time.Second)
+		z.silent[2] = true
+		z.run(span)
+		probed += z.probed
+	}
+	if probed < agents {
+		t.Fatalf("%d probes by %d agents: hardly one found the zone lost", probed, agents)
+	}
+	each := float64(probed) / span.Seconds() / float64(perZone) // at one backend, in the window in which it may fall
+	const free = 6.0                                            // requests that may come over its budget at the least: 3 x root of N + 3
+	if share := each * probe / (free * request); share > 0.2 {
+		t.Errorf("%.0f probes a second at each backend take %.0f%% of what is free", each, 100*share)
+	} else {
+		t.Logf("%.1f probes a second at each backend, %.1f%% of what is free", each, 100*share)
+	}
+}
