Play failing calls inside a shutdown, and hold what was read against the backend

Need: an accept that fails inside a shutdown was read and drawn, not played; and the test's client took each close on a used connection for a request that was not read.

Change: accepts, reads, writes and sockets that fail from the signal on, five forms; a request that was closed without an answer counts as read if a backend has had it.

--- a/cmd/vetchhaven/faults_test.go
+++ b/cmd/vetchhaven/faults_test.go
@@ -37,6 +37,7 @@
 type standIn struct {
 	addr string
 	seen atomic.Int64
+	ids  sync.Map      // of the requests
 	took time.Duration // each answer takes; set before the first request
 }
 
@@ -45,6 +46,7 @@
 	s := &standIn{}
 	s.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		s.seen.Add(1)
+		s.ids.Store(r.Header.Get("X-Trace-Id"), nil)
 		select {
 		case <-time.After(s.took):
 		case <-r.Context().Done():
--- a/cmd/vetchhaven/shutdown_test.go
+++ b/cmd/vetchhaven/shutdown_test.go
@@ -23,6 +23,7 @@
 	stop *atomic.Bool
 
 	answered, lost *atomic.Int64
+	unread         *sync.Map // ids of requests that were sent once more: no backend may have had them
 	t              *testing.T
 }
 
@@ -38,8 +39,8 @@
 			}
 			in, used = bufio.NewReader(conn), false
 		}
-		sent := time.Now()
-		_, err := fmt.Fprintf(conn, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\n\r\n", requests.Add(1))
+		sent, id := time.Now(), fmt.Sprintf("%016x", requests.Add(1))
+		_, err := fmt.Fprintf(conn, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", id)
 		var resp *http.Response
 		if err == nil {
 			resp, err = http.ReadResponse(in, nil)
@@ -55,6 +56,7 @@
 				c.lost.Add(1)
 				c.t.Logf("a request has no answer after %v: %v", time.Since(sent), err)
 			}
+			c.unread.Store(id, err)
 			continue
 		}
 		c.answered.Add(1)
@@ -78,6 +80,7 @@
 		signals  []syscall.Signal // 60 ms apart, the first at once
 		crowd    int
 		step     time.Duration
+		fails    inject.Failure // from the last signal on
 	}{
 		"250 ms":                      {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}},
 		"250 ms, hanging":             {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}},
@@ -87,6 +90,11 @@
 		"a crowd":                     {deadline: 300 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, crowd: 100},
 		"a crowd, hanging":            {deadline: 300 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}, crowd: 100},
 		"the clock an hour back":      {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}, step: -time.Hour},
+		"accepts fail":                {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, fails: inject.Failure{Call: inject.Accept, Errno: syscall.ENOBUFS, Times: 5}},
+		"accepts fail throughout":     {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}, fails: inject.Failure{Call: inject.Accept, Errno: syscall.ENFILE}},
+		"writes fail":                 {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, fails: inject.Failure{Call: inject.Write, Errno: syscall.ENOBUFS, Path: "socket:", Times: 3}},
+		"reads fail":                  {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}, fails: inject.Failure{Call: inject.Read, Errno: syscall.ENOMEM, Path: "socket:", Times: 3}},
+		"no sockets":                  {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, fails: inject.Failure{Call: inject.Socket, Errno: syscall.ENFILE}},
 		"the clock two seconds ahead": {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}, step: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -101,9 +109,10 @@
 			late := lateness(t)
 			var stop atomic.Bool
 			var answered, lost atomic.Int64
+			var unread sync.Map
 			var clients sync.WaitGroup
 			for range 10 {
-				clients.Go((&shutdownClient{d.addr, &stop, &answered, &lost, t}).run)
+				clients.Go((&shutdownClient{d.addr, &stop, &answered, &lost, &unread, t}).run)
 			}
 			for range c.crowd {
 				if conn, err := net.DialTimeout("tcp", d.addr, time.Second); err == nil {
@@ -122,6 +131,9 @@
 			if c.step != 0 {
 				d.apply(t, inject.Plan{Wall: c.step})
 			}
+			if c.fails.Call != "" {
+				d.apply(t, inject.Plan{Failures: []inject.Failure{c.fails}})
+			}
 			ended := make(chan error, 1)
 			go func() { ended <- d.cmd.Wait() }()
 			select {
@@ -142,6 +154,12 @@
 			if answered.Load() == before || lost.Load() > 0 {
 				t.Errorf("%d answered since the signal, %d lost", answered.Load()-before, lost.Load())
 			}
+			unread.Range(func(id, err any) bool {
+				if _, had := backend.ids.Load(id); had {
+					t.Errorf("%v was read, and closed without an answer: %v", id, err)
+				}
+				return true
+			})
 		})
 	}
 }
