--- a/demand.go
+++ b/demand.go
@@ -20,9 +20,9 @@
 	return b.demand.sum(b.now) / (1 - math.Exp(-age/b.demand.span))
 }
 
-// hear takes a peer's demand. One whose clients are sent elsewhere hands its demand to the others, to
+// onPeerDemand takes a peer's demand. One whose clients are sent elsewhere hands its demand to the others, to
 // each an even part, and takes it back when they return; what really comes soon counts for more.
-func (b *Balancer) hear(p *peer, m tidings) {
+func (b *Balancer) onPeerDemand(p *peer, m statusMessage) {
 	p.until = b.now + time.Duration(tellMissed*float64(b.period))
 	moved := 0.0
 	switch {
--- a/distance.go
+++ b/distance.go
@@ -12,7 +12,7 @@
 	probeLoss = 0.9                    // a zone from which so few asks come back is told of as by one peer
 )
 
-// onDistances takes what was measured: a change with one of the next few words of it, so that agents move by and by.
+// onDistances takes what was measured: a change with one of the next few messages of it, so that agents move by and by.
 func (b *Balancer) onDistances(e Distances) {
 	for i, z := range b.zones[:min(len(b.zones), len(e.Trip), len(e.Loss))] {
 		off := (e.Trip[i] - z.trip).Abs()
@@ -20,7 +20,7 @@
 			z.trip = e.Trip[i]
 		}
 		if e.Trip[i] == 0 && e.Loss[i] >= probeLoss && i != b.s.Zone && i < lostZones { // evidence, and never the verdict alone
-			b.rumour(b.s.Self, 1<<i)
+			b.onLossReport(b.s.Self, 1<<i)
 		}
 	}
 }
--- a/message.go
+++ b/message.go
@@ -29,8 +29,8 @@
 	at    time.Duration
 }
 
-// tidings is a message between agents.
-type tidings struct {
+// statusMessage is what an agent tells its peers of itself and of what it saw.
+type statusMessage struct {
 	demand, delay float64
 	notes         []note
 	away          bool   // the demand is of clients whom operators have sent elsewhere
@@ -39,7 +39,7 @@
 
 // encode writes the header and as many notes as fit, those of bad news first and the newest
 // first. Ages are rounded up, so that no note grows younger on its way.
-func (m tidings) encode(now, unit time.Duration) []byte {
+func (m statusMessage) encode(now, unit time.Duration) []byte {
 	data := binary.BigEndian.AppendUint32(make([]byte, 0, messageMost), math.Float32bits(float32(m.demand)))
 	data = binary.BigEndian.AppendUint32(data, math.Float32bits(float32(m.delay)))
 	for _, bad := range []bool{true, false} {
@@ -66,7 +66,7 @@
 }
 
 // decode reads a message. It reports false where the header is short or holds no numbers.
-func decode(data []byte, now, unit time.Duration) (m tidings, ok bool) {
+func decode(data []byte, now, unit time.Duration) (m statusMessage, ok bool) {
 	if len(data) < messageHead {
 		return m, false
 	}
@@ -107,13 +107,13 @@
 }
 
 func (b *Balancer) message(notes []note, step int) {
-	data := b.told(notes).encode(b.now, b.period)
+	data := b.status(notes).encode(b.now, b.period)
 	b.actions = append(b.actions, TellPeer{To: (b.s.Self + step) % b.s.Balancers, Data: data})
 }
 
-// told is what peers are told.
-func (b *Balancer) told(notes []note) tidings {
-	m := tidings{demand: b.asked(), delay: b.delay, notes: notes, lost: b.seenLost()}
+// status is what peers are told.
+func (b *Balancer) status(notes []note) statusMessage {
+	m := statusMessage{demand: b.asked(), delay: b.delay, notes: notes, lost: b.seenLost()}
 	if b.calls.moved > 0 {
 		m.demand, m.away = b.calls.moved, true
 	}
--- a/message_test.go
+++ b/message_test.go
@@ -10,7 +10,7 @@
 // goes first, and what does not fit or is too old stays behind.
 func TestMessageRoundTrip(t *testing.T) {
 	const now, unit = time.Hour, time.Second
-	m := tidings{demand: 12.5, delay: 0.25}
+	m := statusMessage{demand: 12.5, delay: 0.25}
 	for i := range 100 {
 		m.notes = append(m.notes, note{uint32(i), byte(i), now - time.Duration(100-i)*10*time.Millisecond})
 	}
@@ -39,8 +39,8 @@
 }
 
 func TestMessageMalformed(t *testing.T) {
-	nan := tidings{demand: math.NaN()}.encode(0, time.Second)
-	for _, data := range [][]byte{nil, {1}, make([]byte, messageHead-1), nan, tidings{delay: -1}.encode(0, time.Second)} {
+	nan := statusMessage{demand: math.NaN()}.encode(0, time.Second)
+	for _, data := range [][]byte{nil, {1}, make([]byte, messageHead-1), nan, statusMessage{delay: -1}.encode(0, time.Second)} {
 		if m, ok := decode(data, 0, time.Second); ok {
 			t.Errorf("%v was read as %+v", data, m)
 		}
--- a/operations.go
+++ b/operations.go
@@ -1,6 +1,6 @@
 package brookferry
 
-// The decisions on operators' calls: which backends are out of use by their word, and how one
+// The decisions on operators' calls: which backends are out of use, and how one
 // comes back.
 
 import (
--- a/peers.go
+++ b/peers.go
@@ -17,8 +17,8 @@
 	if !ok || e.From < 0 || e.From >= len(b.peers) || e.From == b.s.Self {
 		return
 	}
-	b.hear(&b.peers[e.From], m)
-	b.rumour(e.From, m.lost)
+	b.onPeerDemand(&b.peers[e.From], m)
+	b.onLossReport(e.From, m.lost)
 	if b.notesOn() {
 		b.delay = blend(b.delay, min(m.delay, 1)) // what a quiet agent sees itself comes too late
 		for _, n := range m.notes {
--- a/state.go
+++ b/state.go
@@ -40,7 +40,7 @@
 	warmFrom                   time.Duration // when its latest start became known or seen
 	seen                       bool          // has answered this balancer since then
 	down                       bool          // its process seems to have died since the last answer
-	spell, mutes               int           // attempts without a word in its zone's present spell of silence
+	spell, mutes               int           // attempts without an answer of any kind in its zone's present spell of silence
 	cold                       bool
 	settled                    bool    // counted by its zone
 	budget                     float64 // work that may be sent while it is cold
@@ -164,12 +164,12 @@
 	outcomes int
 	fits     [][]float64 // by class and kind
 
-	narrow float64 // part of the width that backends have connections for
-	gap    float64 // mean time between requests, ns
-	lastAt time.Duration
-	calls  calls // of operators, that hold
-	zones  []*zone
-	sound  bool // no zone is left or coming back
+	narrow  float64 // part of the width that backends have connections for
+	gap     float64 // mean time between requests, ns
+	lastAt  time.Duration
+	calls   calls // of operators, that hold
+	zones   []*zone
+	allOpen bool // no zone is left or coming back
 
 	mine     float64     // part of the limit, as the fleet tells; 0: it does not
 	resident *gate.Table // nil: no policy was told
--- a/sums.go
+++ b/sums.go
@@ -18,11 +18,11 @@
 // measure sums up what the backends that are up, and not ejected or down, can do.
 func (b *Balancer) measure() {
 	b.up, b.capacity, b.stuck, b.warm, b.warmOut = 0, 0, 0, 0, 0
-	b.sound = true
+	b.allOpen = true
 	for _, z := range b.zones {
 		part := b.part(z)
 		z.up = z.settled
-		b.sound = b.sound && part == 1
+		b.allOpen = b.allOpen && part == 1
 		b.up += z.settled
 		b.count(z.settled, z.settledOut, 1, part, true)
 	}
--- a/zone.go
+++ b/zone.go
@@ -6,31 +6,31 @@
 
 // zone is what is known of a zone as a whole.
 type zone struct {
-	number     int
-	up         int           // its backends that the list says are up
-	settled    int           // of these, those that are counted here from step to step ...
-	settledOut int           // ... and the attempts in flight there
-	odds       float64       // log odds that it is lost; 0: nothing speaks for that
-	spell      int           // counts times at which something began to
-	began      time.Duration // when the attempt was sent that did
-	dull       float64       // running share of attempts without a word
-	heardAt    time.Duration // latest answer
-	left       bool
-	since      time.Duration // left then, the last time
-	rounds     float64       // times left, fading
-	token      int64         // of the timer of the next probe
-	hits       int           // probes answered in a row
-	canary     bool          // one request may go there
-	back       time.Duration // used again since; 0: it has its full part
-	seen       bool          // left for what this agent saw itself, not by what it was told
-	words      []word        // what others told of its loss, a peer once
-	trip       time.Duration // round trip from this agent's zone, as steering takes it; 0: not known
-	tight      time.Duration // until then requests that may go elsewhere keep out of it
-	pace       float64       // running mean of what its answers take, as a multiple of the expected
+	number      int
+	up          int           // its backends that the list says are up
+	settled     int           // of these, those that are counted here from step to step ...
+	settledOut  int           // ... and the attempts in flight there
+	odds        float64       // log odds that it is lost; 0: nothing speaks for that
+	spell       int           // counts times at which something began to
+	began       time.Duration // when the attempt was sent that did
+	silentShare float64       // running share of attempts without an answer of any kind
+	heardAt     time.Duration // latest answer
+	left        bool
+	since       time.Duration // left then, the last time
+	rounds      float64       // times left, fading
+	token       int64         // of the timer of the next probe
+	hits        int           // probes answered in a row
+	canary      bool          // one request may go there
+	back        time.Duration // used again since; 0: it has its full part
+	seen        bool          // left for what this agent saw itself, not by what it was told
+	reports     []lossReport  // what others told of its loss, a peer once
+	trip        time.Duration // round trip from this agent's zone, as steering takes it; 0: not known
+	tight       time.Duration // until then requests that may go elsewhere keep out of it
+	pace        float64       // running mean of what its answers take, as a multiple of the expected
 }
 
-// word is a peer's word that a zone is lost, at the time at which it came.
-type word struct {
+// lossReport is a peer's report that a zone is lost, and when it came.
+type lossReport struct {
 	from int
 	at   time.Duration
 }
@@ -53,7 +53,7 @@
 	return nil
 }
 
-// seenLost names the zones that this agent left of late for what it saw itself, a bit each: hearsay is not passed on,
+// seenLost names the zones that this agent left of late for what it saw itself, a bit each: what peers report is not passed on,
 // and that a zone was lost a while ago says nothing of now, least of all to those who were cut off meanwhile.
 func (b *Balancer) seenLost() (lost uint16) {
 	for i, z := range b.zones[:min(len(b.zones), lostZones)] {
@@ -64,12 +64,12 @@
 	return lost
 }
 
-// usual is the share of attempts that the other zones leave without a word: what a zone is held against.
+// usual is the share of attempts that the other zones leave without an answer of any kind: what a zone is held against.
 func (b *Balancer) usual(z *zone) float64 {
 	worst := zoneUsual
 	for _, o := range b.zones {
 		if o != z && !o.left {
-			worst = max(worst, min(o.dull, zoneMute/2))
+			worst = max(worst, min(o.silentShare, zoneMute/2))
 		}
 	}
 	return worst
--- a/zones.go
+++ b/zones.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	zoneMute  = 0.9  // share of attempts that a lost zone leaves without a word
-	zoneUsual = 0.05 // and that a sound one does, at least; else what the other zones do by now
+	zoneMute  = 0.9  // share of attempts that a lost zone leaves without an answer of any kind
+	zoneUsual = 0.05 // and that one in order does, at least; else what the other zones do by now
 	// Log odds at which a zone is left (Wald): one spell in a thousand is taken for a loss that is none, one loss in a
 	// hundred is missed at first. Three silent backends at once, or two that stay silent, come to that; one never does.
-	zoneSure  = 6.9
-	zoneHits  = 2    // probes in a row that must be answered before it is used again
-	zoneRest  = 0.5  // longest aims for which it is left at least, doubled like the rest
-	zoneEach  = 50.0 // agents that may probe once in the longest aim; more of them probe as much together
-	zoneRamp  = 2.0  // longest aims from then until it has its full part
-	zoneFirst = 0.1  // its part at the start
-	zoneWord  = 2.4  // what a peer's word counts for: three that saw it themselves come to zoneSure
-	zoneFresh = 2.0  // longest aims for which it does: it is told anew each longest aim
-	zoneMost  = 4.0  // doublings of the ramp and the probes' wait, at the most, for a zone that fails again and again
+	zoneSure   = 6.9
+	zoneHits   = 2    // probes in a row that must be answered before it is used again
+	zoneRest   = 0.5  // longest aims for which it is left at least, doubled like the rest
+	zoneEach   = 50.0 // agents that may probe once in the longest aim; more of them probe as much together
+	zoneRamp   = 2.0  // longest aims from then until it has its full part
+	zoneFirst  = 0.1  // its part at the start
+	zoneReport = 2.4  // what a peer's report counts for: three that saw it themselves come to zoneSure
+	zoneFresh  = 2.0  // longest aims for which it does: it is told anew each longest aim
+	zoneMost   = 4.0  // doublings of the ramp and the probes' wait, at the most, for a zone that fails again and again
 )
 
 // mute takes an attempt that is out for long, or that found no connection in all its time, as evidence against its
@@ -36,7 +36,7 @@
 	}
 	a.mute = true
 	p := b.usual(z)
-	z.dull += smooth / 2 * (1 - z.dull)
+	z.silentShare += smooth / 2 * (1 - z.silentShare)
 	if z.odds == 0 {
 		z.spell++
 		z.began = a.sent
@@ -50,18 +50,19 @@
 }
 
 // judge leaves a zone that is lost by this agent's own evidence and by what others told since the last answer from
-// there. One who answers often enough to know for itself is told nothing new: its answers came after the words.
+// there. One who answers often enough to know for itself is told nothing new: its answers came after the reports.
 func (b *Balancer) judge(z *zone, saw bool) {
-	z.words = slices.DeleteFunc(z.words, func(w word) bool { return b.now-w.at >= time.Duration(zoneFresh*float64(b.period)) })
-	if !z.left && z.odds+zoneWord*float64(len(z.words)) >= zoneSure && b.elsewhere(z) {
+	fresh := time.Duration(zoneFresh * float64(b.period))
+	z.reports = slices.DeleteFunc(z.reports, func(w lossReport) bool { return b.now-w.at >= fresh })
+	if !z.left && z.odds+zoneReport*float64(len(z.reports)) >= zoneSure && b.elsewhere(z) {
 		z.seen = saw
 		b.leaveZone(z)
 	}
 }
 
-// rumour takes what a peer found lost by itself. Who holds this agent's own zone for lost stands beyond a cut, and
+// onLossReport takes which zones a peer found lost by itself. Who holds this agent's own zone for lost stands beyond a cut, and
 // what it says of zones says nothing about what can be reached from here.
-func (b *Balancer) rumour(from int, lost uint16) {
+func (b *Balancer) onLossReport(from int, lost uint16) {
 	if lost == 0 || b.s.Zone < lostZones && lost>>max(b.s.Zone, 0)&1 != 0 {
 		return
 	}
@@ -72,8 +73,8 @@
 		if z.odds == 0 { // another zone has to have answered of late
 			z.began = b.now - b.period
 		}
-		z.words = slices.DeleteFunc(z.words, func(w word) bool { return w.from == from })
-		z.words = append(z.words, word{from, b.now})
+		z.reports = slices.DeleteFunc(z.reports, func(w lossReport) bool { return w.from == from })
+		z.reports = append(z.reports, lossReport{from, b.now})
 		b.judge(z, false)
 	}
 }
@@ -81,8 +82,8 @@
 // heard takes any answer as evidence for its backend's zone.
 func (b *Balancer) heard(t *backend) {
 	z := b.zone(t)
-	z.dull -= smooth / 2 * z.dull
-	z.heardAt, z.words = b.now, nil
+	z.silentShare -= smooth / 2 * z.silentShare
+	z.heardAt, z.reports = b.now, nil
 	if z.left { // a canary's answer, or one that a cut held up
 		b.answered(z, true)
 	}
@@ -155,7 +156,7 @@
 		return
 	}
 	b.actions = append(b.actions, ZoneTurn{Zone: z.number})
-	z.left, z.odds, z.back, z.heardAt, z.words = false, 0, b.now, b.now, nil
+	z.left, z.odds, z.back, z.heardAt, z.reports = false, 0, b.now, b.now, nil
 	for _, t := range b.backends { // what its silence taught of each is void
 		if b.zone(t) == z && t.struckAt >= z.began {
 			t.strikes, t.ejected, t.row, t.fails = 0, 0, 0, 0
@@ -185,7 +186,7 @@
 // closed says which zones a request may not go to now. Where every zone is left, none is.
 func (b *Balancer) closed(r *request) []bool {
 	aside := b.aside(r)
-	if b.sound {
+	if b.allOpen {
 		return aside
 	}
 	closed, open := make([]bool, len(b.zones)), false
