Part the front and the backends' file by job

Requests are read in request.go, final answers written in reply.go, attempts made in attempt.go, probes in probe.go.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,10 +2,10 @@
 // into the module's events and carries out its actions, in order. It decides nothing about
 // requests: it neither picks backends nor retries, holds or refuses.
 //
-// The loop (loop.go) owns the module; the front (front.go) serves clients, on connections that clientconn.go reads,
-// backends.go makes attempts, stream.go passes large bodies and answers through, discovery follows the list, peers.go
-// exchanges datagrams with other agents, operations takes operators' calls, and successor.go tells the
-// next process what it must know (handover).
+// The loop (loop.go) owns the module. The front (front.go) serves clients: clientconn reads their connections, request.go checks
+// what came, reply.go answers. backends.go holds the connections to backends, attempt.go and probe.go use them, stream.go passes large
+// bodies and answers through. discovery follows the list, peers.go exchanges datagrams with other agents, operations takes operators'
+// calls, and successor.go tells the next process what it must know (handover).
 package agent
 
 import (
