--- /dev/null
+++ b/cmd/vetchhaven/bounds_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"brookferry/internal/lab/inject"
+)
+
+// openFiles are what the descriptors of a process are of, and whether they may be written.
+func openFiles(t *testing.T, pid int) (files map[string]bool) {
+	t.Helper()
+	links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	files = map[string]bool{}
+	for _, link := range links {
+		name, err := os.Readlink(link)
+		if err != nil {
+			continue // it was closed meanwhile
+		}
+		info, err := os.ReadFile(strings.Replace(link, "/fd/", "/fdinfo/", 1))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(info)) {
+			if text, ok := strings.CutPrefix(line, "flags:"); ok {
+				flags, err := strconv.ParseInt(strings.TrimSpace(text), 8, 64)
+				files[name] = files[name] || err != nil || flags&syscall.O_ACCMODE != syscall.O_RDONLY
+			}
+		}
+	}
+	return files
+}
+
+// listeners are the addresses of the kernel's table at which some of the open files listen.
+func listeners(t *testing.T, table string, files map[string]bool) (addrs []string) {
+	t.Helper()
+	const state, listens, inode = 3, "0A", 9
+	f, err := os.Open(table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		field := strings.Fields(lines.Text())
+		if len(field) <= inode || field[state] != listens {
+			continue
+		}
+		if _, own := files["socket:["+field[inode]+"]"]; !own {
+			continue
+		}
+		ip, port, _ := strings.Cut(field[1], ":")
+		n, err := strconv.ParseUint(port, 16, 16)
+		if err != nil || len(ip) != 8 {
+			t.Errorf("listens at %s", field[1]) // not IPv4
+			continue
+		}
+		var b [4]byte
+		for i := range b { // the table has it as a number of the machine's own byte order
+			x, err := strconv.ParseUint(ip[6-2*i:8-2*i], 16, 8)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b[i] = byte(x)
+		}
+		addrs = append(addrs, netip.AddrPortFrom(netip.AddrFrom4(b), uint16(n)).String())
+	}
+	return addrs
+}
+
+// The program listens at the addresses that it is given and at no other, starts no process, and has no file open for writing but
+// its log and what is in its scratch folder.
+func TestListensAndWritesWhereItMay(t *testing.T) {
+	d := deploy(t, newCatalog(t, ready("s", newStandIn(t))).addr, inject.Plan{}, nil, "")
+	awaitReady(t, d.addr)
+	for range 20 {
+		if status, err := request(alone, d.addr, "/get/x"); status != 200 {
+			t.Fatalf("%d, %v", status, err)
+		}
+	}
+	d.awaitCall(t, patience, "/_ready", "")
+	pid := d.cmd.Process.Pid
+	files := openFiles(t, pid)
+	got := listeners(t, fmt.Sprintf("/proc/%d/net/tcp", pid), files)
+	got = append(got, listeners(t, fmt.Sprintf("/proc/%d/net/tcp6", pid), files)...)
+	want := []string{d.addr, d.door}
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Errorf("listens at %v, want %v", got, want)
+	}
+	own := filepath.Dir(d.config)
+	for name, writable := range files {
+		if writable && strings.HasPrefix(name, "/") && !strings.HasPrefix(name, own) && !strings.HasPrefix(name, "/dev/") {
+			t.Errorf("%s is open for writing", name)
+		}
+	}
+	children, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", pid, pid))
+	if err != nil || len(children) > 0 {
+		t.Errorf("children %q, %v", children, err)
+	}
+	d.signal(t, syscall.SIGTERM)
+	if err := d.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/vetchhaven/log_test.go
+++ b/cmd/vetchhaven/log_test.go
@@ -11,6 +11,23 @@
 	"brookferry/internal/lab/inject"
 )
 
+// again kills the program and starts it with another log, of which this process keeps no end for writing.
+func (d *deployed) again(t *testing.T, log *os.File) (cmd *exec.Cmd, ended <-chan error) {
+	t.Helper()
+	d.signal(t, syscall.SIGKILL)
+	_ = d.cmd.Wait()
+	cmd = exec.Command(d.cmd.Path)
+	cmd.Env, cmd.Stderr = d.cmd.Env, log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	log.Close()
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	return cmd, done
+}
+
 // A log that nobody reads any more, or whose disk is full, ends nothing.
 func TestLogThatCannotBeWritten(t *testing.T) {
 	backend := newStandIn(t)
@@ -20,18 +37,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	unread := exec.Command(d.cmd.Path)
-	unread.Env, unread.Stderr = d.cmd.Env, write
 	read.Close() // the first line is written to a broken pipe
-	d.signal(t, syscall.SIGKILL)
-	_ = d.cmd.Wait()
-	if err := unread.Start(); err != nil {
-		t.Fatal(err)
-	}
-	write.Close()
-	defer func() { _ = unread.Process.Kill() }()
-	ended := make(chan error, 1)
-	go func() { ended <- unread.Wait() }()
+	unread, ended := d.again(t, write)
 	awaitReady(t, d.addr)
 	if err := os.WriteFile(d.config, []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
@@ -57,23 +64,13 @@
 	backend := newStandIn(t)
 	d := deploy(t, newCatalog(t, ready("s", backend)).addr, inject.Plan{}, nil, "")
 	awaitReady(t, d.addr)
-	d.signal(t, syscall.SIGKILL)
-	_ = d.cmd.Wait()
 	read, write, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer read.Close()
 	fill(t, write)
-	unread := exec.Command(d.cmd.Path)
-	unread.Env, unread.Stderr = d.cmd.Env, write
-	if err := unread.Start(); err != nil {
-		t.Fatal(err)
-	}
-	write.Close()
-	defer func() { _ = unread.Process.Kill() }()
-	ended := make(chan error, 1)
-	go func() { ended <- unread.Wait() }()
+	unread, ended := d.again(t, write)
 	awaitReady(t, d.addr)
 	if status, err := request(alone, d.addr, "/get/x"); status != http.StatusOK {
 		t.Errorf("%d, %v", status, err)
