Play the first list of a new process through calls that fail

Change: a process whose known list calls a backend ready that drains by discovery, with connects, sockets, reads and writes that fail once to three times as it starts. Nothing reaches that backend 0.5 s after the start.

--- /dev/null
+++ b/cmd/vetchhaven/firstlist_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/inject"
+)
+
+// Where lists are pushed, what discovery has counts from the first moment of a new process: a backend that drains by it gets
+// nothing new 0.5 s later, though the list that the process starts with says that it is ready, and whatever fails meanwhile.
+func TestFirstListOfANewProcess(t *testing.T) {
+	const grace, slack = 500 * time.Millisecond, 50 * time.Millisecond
+	if _, err := faulty(); err != nil { // built before anything is timed
+		t.Fatal(err)
+	}
+	for name, failure := range map[string]inject.Failure{
+		"nothing fails":          {},
+		"a connect":              {Call: inject.Connect, Errno: syscall.EADDRNOTAVAIL, Times: 1},
+		"three connects":         {Call: inject.Connect, Errno: syscall.ENETUNREACH, Times: 3},
+		"three sockets":          {Call: inject.Socket, Errno: syscall.ENOBUFS, Times: 3, Skip: 2}, // those that it listens at are there
+		"a read of a socket":     {Call: inject.Read, Errno: syscall.ETIMEDOUT, Times: 1, Path: "socket:"},
+		"a write to a socket":    {Call: inject.Write, Errno: syscall.EHOSTUNREACH, Times: 1, Path: "socket:"},
+		"connects are refused":   {Call: inject.Connect, Errno: syscall.ECONNREFUSED, Times: 2},
+		"connects are aborted":   {Call: inject.Connect, Errno: syscall.ECONNABORTED, Times: 3},
+		"connects are timed out": {Call: inject.Connect, Errno: syscall.ETIMEDOUT, Times: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			late := lateness(t)
+			var latest atomic.Int64 // nanoseconds since the start
+			var began time.Time
+			drains := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+				latest.Store(max(latest.Load(), int64(time.Since(began))))
+				fmt.Fprint(w, "served")
+			})
+			good := newStandIn(t)
+			now := []listed{{ID: "s", Addr: drains, Zone: "a", Kind: "m", State: "draining", Weight: 1}, ready("t", good)}
+			known := fmt.Sprintf(`"known":{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}]},"settings":`, drains)
+			plan := inject.Plan{}
+			if failure.Call != "" {
+				plan.Failures = []inject.Failure{failure}
+			}
+			discovery := newCatalog(t, now...)
+			began = time.Now()
+			d := deploy(t, discovery.addr, plan, nil, "", `"settings":`, known)
+			awaitReady(t, d.addr)
+			for time.Since(began) < 2*time.Second {
+				if status, err := request(alone, d.addr, "/get/x"); status != http.StatusOK && status != http.StatusServiceUnavailable {
+					t.Fatalf("%d, %v", status, err)
+				}
+			}
+			if at := time.Duration(latest.Load()); at > grace+slack+late() {
+				t.Errorf("the latest request reached the backend that drains %v after the start", at)
+			}
+			if good.seen.Load() == 0 {
+				t.Error("nothing reached the backend that is ready")
+			}
+		})
+	}
+}
