--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -222,6 +222,21 @@
 	}
 }
 
+// A process that is told to end while it starts has not crashed, and is started once more.
+func TestEndOfAProcessThatStarts(t *testing.T) {
+	for _, what := range []string{"term", "kill"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			const fault = "\n[[fault]]\nat = %q\nwhat = %q\nwho = \"agents n=1\"\nrestart = \"kept\"\n"
+			faults := fmt.Sprintf(fault, "500ms", "term") + fmt.Sprintf(fault, "1s", what)
+			r := playOut(t, options(t, "starts-late", small+faults))
+			if r.Verdict == Crashed {
+				t.Errorf("%s: %s", r.Verdict, r.Crash)
+			}
+		})
+	}
+}
+
 // An agent that goes on sending to a zone it can't reach is seen to, by what waits and by connections that don't come
 // up; without a fault between zones nothing is told of it.
 func TestZoneThatIsNeverLeft(t *testing.T) {
--- a/internal/lab/standin_test.go
+++ b/internal/lab/standin_test.go
@@ -97,6 +97,9 @@
 	if mode == "probes" {
 		go a.probe()
 	}
+	if mode == "starts-late" && a.kept {
+		time.Sleep(time.Second)
+	}
 	panic(http.ListenAndServe(config.Listen, a))
 }
 
