Take no end that the lab itself asked for as a crash

Cause: restart waits for the process that it started to be ready, and took its end for a crash (processes.go:322) though another fault had told it to end meanwhile, and starts the next itself.

--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -307,11 +307,14 @@
 		l.fail(err)
 		return
 	}
-	ended, began := p.ended, l.now()
+	cmd, ended, began := p.cmd, p.ended, l.now()
 	l.running.Go(func() {
 		err := p.role.ready(l.ctx, ended)
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		if p.cmd != cmd || p.expected { // it was told to end as it started: whoever told it starts the next
+			return
+		}
 		if err == nil {
 			p.up, p.since = true, l.now()
 			if p.what == "agent" {
