--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -237,6 +237,33 @@
 	}
 }
 
+// No client outlives its lab: the next may have the same addresses, and its agents would be sent what their clients never sent.
+func TestNoClientOutlivesItsLab(t *testing.T) {
+	for _, mode := range []string{"never-answers", "refuses-what-ran", "hangs-up"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			l, err := New(options(t, mode, small))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			l.Ready = func(*Lab) { time.AfterFunc(time.Second, cancel) }
+			_, err = l.Run(ctx)
+			l.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			for _, a := range l.agents {
+				if a.open > 0 {
+					t.Errorf("%d clients of agent %d are at work", a.open, a.n)
+				}
+			}
+		})
+	}
+}
+
 // An agent that goes on sending to a zone it can't reach is seen to, by what waits and by connections that don't come
 // up; without a fault between zones nothing is told of it.
 func TestZoneThatIsNeverLeft(t *testing.T) {
