Have a lab wait for its clients before it gives up its addresses

Cause: each client's task was started on its own (clients.go, arrivals), and one that waited to try once more dialled its agent's address after the lab had been closed, where the next lab's agent may listen.

Change: clients are among what Close waits for, and dial nothing once their agent's sockets are closed.

Measured: TestNoClientOutlivesItsLab is red in two plays before, green in three since, all with -race; the lab's tests are green with -race.

--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -141,7 +141,7 @@
 		l.lateBy(l.now() - d.at)
 		d.agent.open++
 		l.mu.Unlock()
-		go l.play(p)
+		l.running.Go(func() { l.play(p) })
 		if h[0].at = l.gap(d.agent, d.at); h[0].at >= l.Scenario.For.D() {
 			heap.Pop(&h)
 		} else {
@@ -390,6 +390,10 @@
 // connect returns a connection that is idle, or a new one; fresh: a new one.
 func (a *agent) connect(fresh bool) (*clientConn, error) {
 	a.mu.Lock()
+	if a.closed { // another lab's agent may be there by now
+		a.mu.Unlock()
+		return nil, net.ErrClosed
+	}
 	if n := len(a.idle); n > 0 && !fresh {
 		c := a.idle[n-1]
 		a.idle = a.idle[:n-1]
