Play SIGTERM until the end, and trouble after a quiet time

Need: a second SIGTERM in the last moment was read; trouble after a long quiet time was not played for longer than a minute.

--- /dev/null
+++ b/cmd/vetchhaven/quiet_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"brookferry/internal/lab/inject"
+)
+
+var quietFor = flag.Duration("quiet.for", 3*time.Second, "how long nothing happens before trouble begins")
+
+// Trouble that begins after a long quiet time meets an agent that knows nothing new: connections that rest at backends have been
+// forgotten, one backend drains, one hangs, and clients come all at once. Each has its answer in time, and no rule is broken.
+func TestTroubleAfterAQuietTime(t *testing.T) {
+	late := lateness(t)
+	var latest atomic.Int64 // nanoseconds of the Unix time at which the backend that drains got its latest request
+	drains := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		latest.Store(time.Now().UnixNano())
+		fmt.Fprint(w, "served")
+	})
+	var hangs atomic.Bool
+	hanging := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if hangs.Load() {
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, "served")
+	})
+	good := newStandIn(t)
+	forgotten := backendThatForgets(t)
+	list := []listed{{ID: "s", Addr: drains, Zone: "a", Kind: "m", State: "ready", Weight: 1}, ready("t", good),
+		{ID: "u", Addr: hanging, Zone: "a", Kind: "m", State: "ready", Weight: 1},
+		{ID: "v", Addr: forgotten, Zone: "a", Kind: "m", State: "ready", Weight: 1}}
+	discovery := newCatalog(t, list...)
+	d := deploy(t, discovery.addr, inject.Plan{}, nil, "", `"AimMs":5000,"DeadlineMs":5000`, `"AimMs":500,"DeadlineMs":1000`)
+	awaitReady(t, d.addr)
+	for range 60 { // connections rest at all of them
+		if status, err := request(alone, d.addr, "/get/x"); status != http.StatusOK {
+			t.Fatalf("%d, %v", status, err)
+		}
+	}
+	time.Sleep(*quietFor)
+	list = slices.Clone(list) // the one before may still be being written
+	list[0].State = "draining"
+	discovery.tell(list...)
+	told := time.Now()
+	hangs.Store(true)
+	var served, others, unanswered atomic.Int64
+	done := make(chan struct{}, 20)
+	for range cap(done) {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for time.Since(told) < 2*time.Second {
+				began := time.Now()
+				status, err := request(alone, d.addr, "/get/x")
+				if took := time.Since(began); err != nil || took > 1550*time.Millisecond+late() {
+					unanswered.Add(1)
+					t.Errorf("%d, %v after %v", status, err, took)
+				}
+				if status == http.StatusOK {
+					served.Add(1)
+				} else {
+					others.Add(1)
+				}
+			}
+		}()
+	}
+	for range cap(done) {
+		<-done
+	}
+	if at := time.Unix(0, latest.Load()).Sub(told); at > 550*time.Millisecond+late() {
+		t.Errorf("the backend that drains got a request %v after it was told", at)
+	}
+	if served.Load() < 4*others.Load() || unanswered.Load() > 0 {
+		t.Errorf("%d served, %d not, %d of them without an answer in time", served.Load(), others.Load(), unanswered.Load())
+	}
+	t.Logf("%d served, %d not", served.Load(), others.Load())
+}
+
+// backendThatForgets closes connections a second after their last request, well before the time that the settings give.
+func backendThatForgets(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{IdleTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") })}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { server.Close() })
+	return ln.Addr().String()
+}
--- a/cmd/vetchhaven/shutdown_test.go
+++ b/cmd/vetchhaven/shutdown_test.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// endedBy reports whether a signal ended the program. It has been waited for.
+func (d *deployed) endedBy(s syscall.Signal) bool {
+	status, ok := d.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
 // Where deadlines are short the kill comes soon: 0.7 s and the longest deadline after SIGTERM. Clients send on every connection
 // that is open until then, on backends that hang, and signals come in series; each request has its answer, and the program has
 // ended by itself.
@@ -81,11 +87,13 @@
 		crowd    int
 		step     time.Duration
 		fails    inject.Failure // from the last signal on
+		untilEnd bool           // SIGTERM comes again each millisecond: the last may end the program, once nothing is open
 	}{
 		"250 ms":                      {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}},
 		"250 ms, hanging":             {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}},
 		"500 ms, hanging":             {deadline: 500 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM}},
 		"SIGTERM in series":           {deadline: 250 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM}},
+		"SIGTERM until the end":       {deadline: 250 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, untilEnd: true},
 		"SIGHUP before and after":     {deadline: 300 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}},
 		"a crowd":                     {deadline: 300 * time.Millisecond, signals: []syscall.Signal{syscall.SIGTERM}, crowd: 100},
 		"a crowd, hanging":            {deadline: 300 * time.Millisecond, hang: true, signals: []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}, crowd: 100},
@@ -136,9 +144,16 @@
 			}
 			ended := make(chan error, 1)
 			go func() { ended <- d.cmd.Wait() }()
+			if c.untilEnd {
+				go func() {
+					for d.cmd.Process.Signal(syscall.SIGTERM) == nil {
+						time.Sleep(time.Millisecond)
+					}
+				}()
+			}
 			select {
 			case err := <-ended:
-				if err != nil {
+				if err != nil && !(c.untilEnd && d.endedBy(syscall.SIGTERM)) {
 					t.Errorf("it ended with %v", err)
 				}
 			case <-time.After(time.Until(termed.Add(c.deadline + 700*time.Millisecond))):
