--- a/cmd/vetchhaven/growth_test.go
+++ b/cmd/vetchhaven/growth_test.go
@@ -32,6 +32,7 @@
 	peakMB      float64
 	descriptors int
 	connections int64
+	listBytes   int64 // from discovery
 	served      float64
 }
 
@@ -124,6 +125,7 @@
 		t.Error(err)
 	}
 	n.cpu = d.cmd.ProcessState.UserTime() + d.cmd.ProcessState.SystemTime()
+	n.listBytes = discovery.sent.Load()
 	n.connections, n.served = connections.Load(), float64(served.Load())/float64(sent.Load())
 	return n
 }
@@ -135,6 +137,7 @@
 	list []listed
 	told []string      // a line for each change
 	more chan struct{} // closed with the next
+	sent atomic.Int64  // bytes
 	next int           // backend that starts again
 }
 
@@ -143,13 +146,15 @@
 	c := &changes{list: list, more: make(chan struct{})}
 	whole := lineOf(t, 1, true, list)
 	c.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(w, whole)
+		n, _ := io.WriteString(w, whole)
+		c.sent.Add(int64(n))
 		for told := 0; ; {
 			c.mu.Lock()
 			lines, more := c.told[told:], c.more
 			told = len(c.told)
 			c.mu.Unlock()
-			_, err := io.WriteString(w, strings.Join(lines, "")+"\n")
+			n, err := io.WriteString(w, strings.Join(lines, "")+"\n")
+			c.sent.Add(int64(n))
 			if err = errors.Join(err, http.NewResponseController(w).Flush()); err != nil {
 				return
 			}
@@ -219,6 +224,9 @@
 	if most := a.connections*5/2 + 40; b.connections > most {
 		t.Errorf("%d connections to backends, %d allowed", b.connections, most)
 	}
+	if most := 2*a.listBytes + 64<<10 + int64(500e3*thousands); b.listBytes > most {
+		t.Errorf("%d bytes of lists, %d allowed", b.listBytes, most)
+	}
 	if least := 0.85 * a.served; b.served < least {
 		t.Errorf("%.3f served, %.3f wanted", b.served, least)
 	}
