Look for an agent whose stream ends soon after another hub told of it

Change: a notice counts as a move only if it comes later than another hub's old word can (1.5 s after the agent came), or is of a later process; else the hub that loses the stream looks whether the process is dead, as for any other.

Measured: TestDeathSoonAfterAMove is red in two of its five cases before and green since; the hub's tests are green with -race.

--- a/internal/fleet/hub/roll.go
+++ b/internal/fleet/hub/roll.go
@@ -13,6 +13,8 @@
 	heardFor  = 30 * time.Second // that an agent is at another hub: a move is over by then
 	lookFirst = time.Second      // between two looks at whether a lost agent's process is dead
 	lookMost  = 10 * time.Second // the same, where nothing came of many
+	// For so long after an agent has come another hub may still tell that it has it, from before it came.
+	crossing = postWithin + 2*postEvery
 )
 
 // roll is which agents are where, by name: attached here, heard of at another hub, or lost. A name is in one of the first
@@ -31,6 +33,12 @@
 	at          time.Time
 }
 
+// tells reports whether a notice says that who is attached here has gone there: that its process is there and not merely was, or
+// a later one.
+func (e notice) tells(s *stream) bool {
+	return e.incarnation > s.incarnation || e.incarnation == s.incarnation && e.at.Sub(s.since) >= crossing
+}
+
 // loss is an agent whose stream ended here, and of which no hub has told since.
 type loss struct {
 	name        string
@@ -74,9 +82,10 @@
 		return // replaced
 	}
 	delete(r.attached, s.name)
-	if e, there := r.elsewhere[s.name]; there && e.incarnation >= s.incarnation && now.Sub(e.at) < heardFor {
+	if e, there := r.elsewhere[s.name]; there && e.tells(s) && now.Sub(e.at) < heardFor {
 		return
 	}
+	delete(r.elsewhere, s.name)
 	if len(r.lost) >= mostNames || !s.addr.IsValid() {
 		return // it keeps its part
 	}
