Tell an answer that came before an upload's last byte by the order on the connection

Change: before the write of a large body's last bytes the connection looks whether bytes of a final answer have been read or lie unread; such a 200 counts as before: the attempt broke, and may have run where the body went out whole.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -122,7 +122,6 @@
 // send writes the request on a connection, once, and waits for the answer.
 func (b *backends) send(t *try, c *conn) (brookferry.Result, *answer, brookferry.Load) {
 	none, m := wire.Load(nil), t.m
-	c.net.begin(func() error { return b.clear(t) }, t.last)
 	u := *m.url
 	u.Scheme, u.Host = "http", c.addr
 	req := (&http.Request{Method: m.method, URL: &u, Header: m.header.Clone(), Host: m.host,
@@ -136,6 +135,11 @@
 	case len(m.body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
 	}
+	var handed func() bool
+	if large != nil {
+		handed = large.done.Load
+	}
+	c.net.begin(func() error { return b.clear(t) }, t.last, handed)
 	until, ok := t.until, !t.until.IsZero()
 	if !ok {
 		until, ok = t.ctx.Deadline()
@@ -160,7 +164,7 @@
 	over := make(chan struct{})
 	defer close(over)
 	answer, err := b.read(t, resp, over)
-	early := large != nil && !large.done.Load() && resp.StatusCode == http.StatusOK // a backend starts with the last byte
+	early := large != nil && resp.StatusCode == http.StatusOK && (!large.done.Load() || c.net.answeredEarly()) // a backend starts with the last byte
 	if err != nil || early || endless(resp) && len(answer.body) == 0 {
 		return b.broken(t, c, large), nil, none
 	}
--- a/internal/agent/backendconn.go
+++ b/internal/agent/backendconn.go
@@ -39,6 +39,9 @@
 	stray   bool         // bytes came before that: nothing that comes here is to be trusted
 	clear   func() error // asked before the first byte: why it may not go out; nil: nothing is against it
 	refusal error        // what it said
+	handed  func() bool  // whether the last byte is among what is written next; nil: nobody asks, or it has been
+	heard   bool         // bytes of a final answer came
+	early   bool         // they did before the last byte went out
 }
 
 func newBackendConn(c net.Conn) *backendConn {
@@ -50,8 +53,9 @@
 	return b
 }
 
-// begin readies the connection for a request, of which nothing goes out where clear says why, or once last is over.
-func (c *backendConn) begin(clear func() error, last time.Time) {
+// begin readies the connection for a request, of which nothing goes out where clear says why, or once last is over. handed tells
+// when its last byte is about to be written; nil: the request is written at once.
+func (c *backendConn) begin(clear func() error, last time.Time, handed func() bool) {
 	c.write.Lock()
 	c.wrote, c.failed = 0, false
 	if !last.IsZero() || !c.last.IsZero() {
@@ -61,6 +65,7 @@
 	c.write.Unlock()
 	c.mu.Lock()
 	c.begun, c.clear, c.refusal = false, clear, nil
+	c.handed, c.heard, c.early = handed, false, false
 	c.mu.Unlock()
 }
 
@@ -78,6 +83,7 @@
 		c.mu.Unlock()
 		return 0, err
 	}
+	c.beforeLast()
 	n, err := c.Conn.Write(p)
 	c.wrote += n
 	c.failed = c.failed || err != nil
@@ -117,6 +123,39 @@
 	return nil
 }
 
+// beforeLast notes, before a request's last byte is written, whether an answer has come by then: a backend starts a request with
+// that byte.
+func (c *backendConn) beforeLast() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handed == nil || !c.handed() {
+		return
+	}
+	c.handed = nil
+	if c.early = c.heard; c.early || c.raw == nil {
+		return
+	}
+	p := make([]byte, finalAt+1)
+	_ = c.raw.Control(func(fd uintptr) { // fails with the connection alone
+		if n, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err == nil {
+			c.early = final(p[:max(0, n)])
+		}
+	})
+}
+
+// finalAt is where the first digit of an answer's status stands: "HTTP/1.1 200".
+const finalAt = len("HTTP/1.1 ")
+
+// final reports whether bytes begin an answer that is no informational one (RFC 9110, 15.2).
+func final(p []byte) bool { return len(p) > finalAt && p[finalAt] != '1' }
+
+// answeredEarly reports whether an answer came before the request's last byte went out.
+func (c *backendConn) answeredEarly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.early
+}
+
 // refused is why a request was held back; nil: it was not.
 func (c *backendConn) refused() error {
 	c.mu.Lock()
@@ -159,6 +198,7 @@
 			return false
 		}
 		c.stray = c.stray || n > 0 && !c.begun
+		c.heard = c.heard || n > 0 && final(p[:n])
 		return true
 	})
 	switch {
