Show that connections grow in step with a fleet of few agents, or with long aims

Seen, 30 s each: 4 agents beside 12 backends and 12 beside 192, 83 requests a second each: 23 and 192 connections made (97 are allowed), 73 and 215 descriptors (186). 250 beside 50 and 750 beside 800 with an aim of 2.5 s, as another customer has it: 50 and 430 connections (165), 111 and 452 descriptors (262). Within all bounds: 300 beside 200 and 900 beside 3,200 at 40 and at 5 requests a second.

Cause: how many idle backends a choice is made among follows the aim and the rate alone (picking.go, width); where that is more than the usual fleet has, sixteen times the backends are sixteen times the connections.

--- a/cmd/vetchhaven/growth_test.go
+++ b/cmd/vetchhaven/growth_test.go
@@ -26,6 +26,13 @@
 // fleetSize is what an agent is told of its fleet.
 type fleetSize struct{ agents, backends int }
 
+// traffic is what one agent of a fleet carries, at any size of that.
+type traffic struct {
+	apart time.Duration // requests come so far apart
+	aim   time.Duration // of the longest class
+	work  time.Duration // of a request
+}
+
 // needs are what a process needed from its start to its end.
 type needs struct {
 	cpu         time.Duration
@@ -36,10 +43,9 @@
 	served      float64
 }
 
-// manyBackends opens backends of which one of eight fails most requests. It returns their addresses, and counts connections.
-func manyBackends(t *testing.T, n int, connections *atomic.Int64) (addrs []string) {
+// manyBackends opens backends of which one of eight fails each request. It returns their addresses, and counts connections.
+func manyBackends(t *testing.T, n int, work time.Duration, connections *atomic.Int64) (addrs []string) {
 	t.Helper()
-	const took = 40 * time.Millisecond
 	for i := range n {
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.2.%d.%d:0", 1+i/200, 1+i%200))
 		if err != nil {
@@ -47,7 +53,7 @@
 		}
 		server := &http.Server{
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				time.Sleep(took)
+				time.Sleep(work)
 				if i%8 == 3 {
 					w.WriteHeader(http.StatusInternalServerError)
 				}
@@ -85,24 +91,23 @@
 	return mb, len(open)
 }
 
-// needsOf runs an agent under 40 requests a second, while one in two hundred backends starts again each second.
-func needsOf(t *testing.T, size fleetSize) (n needs) {
+// needsOf runs an agent, while one in two hundred backends starts again each second.
+func needsOf(t *testing.T, size fleetSize, load traffic) (n needs) {
 	t.Helper()
-	const every = 25 * time.Millisecond
 	var connections atomic.Int64
 	var list []listed
-	for i, addr := range manyBackends(t, size.backends, &connections) {
+	for i, addr := range manyBackends(t, size.backends, load.work, &connections) {
 		list = append(list, listed{ID: fmt.Sprintf("s-%05d", i), Addr: addr, Zone: string(rune('a' + i%3)), Kind: "m", State: "ready", Weight: 1})
 	}
 	discovery := newChanges(t, list)
 	d := deploy(t, discovery.addr, inject.Plan{}, nil, "", `"Balancers":1`, fmt.Sprintf(`"Balancers":%d`, size.agents), `"Dcs":["a"]`, `"Dcs":["a","b","c"]`,
-		`"AimMs":5000,"DeadlineMs":5000`, `"AimMs":700,"DeadlineMs":2000`)
+		`"AimMs":5000,"DeadlineMs":5000`, fmt.Sprintf(`"AimMs":%d,"DeadlineMs":%d`, load.aim.Milliseconds(), 3*load.aim.Milliseconds()))
 	awaitReady(t, d.addr)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: patience}
 	defer client.CloseIdleConnections()
 	var served, sent atomic.Int64
 	var calls sync.WaitGroup
-	tick := time.NewTicker(every)
+	tick := time.NewTicker(load.apart)
 	defer tick.Stop()
 	for end, i := time.Now().Add(*growthFor), 0; time.Now().Before(end); i++ {
 		<-tick.C
@@ -112,8 +117,8 @@
 				served.Add(1)
 			}
 		})
-		if i%40 == 39 {
-			discovery.restart(size.backends / 200)
+		if each := int(time.Second / load.apart); i%each == each-1 {
+			discovery.restart(max(1, size.backends/200))
 			_, open := peak(t, d.cmd.Process.Pid)
 			n.descriptors = max(n.descriptors, open)
 		}
@@ -195,40 +200,55 @@
 	c.more = make(chan struct{})
 }
 
-// What an agent needs grows only so far from the usual size of a fleet to the largest.
+// What an agent needs grows only so far from the usual size of a fleet to sixteen times the backends.
 func TestNeedsInALargeFleet(t *testing.T) {
-	usual, large := fleetSize{300, 200}, fleetSize{900, 3200}
-	var a, b needs
-	t.Run("beside each other", func(t *testing.T) { // on the same machine
-		for into, size := range map[*needs]fleetSize{&a: usual, &b: large} {
-			t.Run(fmt.Sprint(size.backends), func(t *testing.T) {
-				t.Parallel()
-				*into = needsOf(t, size)
+	for name, c := range map[string]struct {
+		usual, large fleetSize
+		load         traffic
+	}{
+		"many agents":  {fleetSize{300, 200}, fleetSize{900, 3200}, traffic{25 * time.Millisecond, 700 * time.Millisecond, 40 * time.Millisecond}},
+		"few agents":   {fleetSize{4, 12}, fleetSize{12, 192}, traffic{12 * time.Millisecond, 800 * time.Millisecond, 100 * time.Millisecond}},
+		"a long aim":   {fleetSize{250, 50}, fleetSize{750, 800}, traffic{25 * time.Millisecond, 2500 * time.Millisecond, 200 * time.Millisecond}},
+		"little to do": {fleetSize{300, 200}, fleetSize{900, 3200}, traffic{200 * time.Millisecond, 700 * time.Millisecond, 40 * time.Millisecond}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a, b needs
+			t.Run("beside each other", func(t *testing.T) { // on the same machine
+				for into, size := range map[*needs]fleetSize{&a: c.usual, &b: c.large} {
+					t.Run(fmt.Sprint(size.backends), func(t *testing.T) {
+						t.Parallel()
+						*into = needsOf(t, size, c.load)
+					})
+				}
 			})
-		}
-	})
-	if t.Failed() {
-		return
+			t.Logf("usual %+v, large %+v", a, b)
+			if !t.Failed() {
+				b.within(t, a, float64(c.large.backends)/1000)
+			}
+		})
 	}
-	t.Logf("usual %+v, large %+v", a, b)
-	thousands := float64(large.backends) / 1000
-	if most := time.Duration(1.4*float64(a.cpu) + (0.02+0.03*thousands)*float64(time.Second)); b.cpu > most {
-		t.Errorf("%v of processor time, %v allowed", b.cpu, most)
+}
+
+// within holds what an agent needs in a large fleet against what it may, by what it needs at the usual size.
+func (n needs) within(t *testing.T, usual needs, thousands float64) {
+	t.Helper()
+	if most := time.Duration(1.4*float64(usual.cpu) + (0.02+0.03*thousands)*float64(time.Second)); n.cpu > most {
+		t.Errorf("%v of processor time, %v allowed", n.cpu, most)
 	}
-	if most := 1.5*a.peakMB + 8 + 4*thousands; b.peakMB > most {
-		t.Errorf("%.1f MB, %.1f allowed", b.peakMB, most)
+	if most := 1.5*usual.peakMB + 8 + 4*thousands; n.peakMB > most {
+		t.Errorf("%.1f MB, %.1f allowed", n.peakMB, most)
 	}
-	if most := 2*a.descriptors + 40; b.descriptors > most {
-		t.Errorf("%d descriptors, %d allowed", b.descriptors, most)
+	if most := 2*usual.descriptors + 40; n.descriptors > most {
+		t.Errorf("%d descriptors, %d allowed", n.descriptors, most)
 	}
-	if most := a.connections*5/2 + 40; b.connections > most {
-		t.Errorf("%d connections to backends, %d allowed", b.connections, most)
+	if most := usual.connections*5/2 + 40; n.connections > most {
+		t.Errorf("%d connections to backends, %d allowed", n.connections, most)
 	}
-	if most := 2*a.listBytes + 64<<10 + int64(500e3*thousands); b.listBytes > most {
-		t.Errorf("%d bytes of lists, %d allowed", b.listBytes, most)
+	if most := 2*usual.listBytes + 64<<10 + int64(500e3*thousands); n.listBytes > most {
+		t.Errorf("%d bytes of lists, %d allowed", n.listBytes, most)
 	}
-	if least := 0.85 * a.served; b.served < least {
-		t.Errorf("%.3f served, %.3f wanted", b.served, least)
+	if least := 0.85 * usual.served; n.served < least {
+		t.Errorf("%.3f served, %.3f wanted", n.served, least)
 	}
 }
 
