Bound the choice among idle backends by a part of the fleet

Change: a choice is made among 30 and a tenth of all idle backends at most. Departure from an even choice, as the width by rate is: an agent that spreads over all of a large fleet opens a connection to each, and so does every other agent. Fleets of up to 33 backends are as before. Not taken: a bound by what is in flight, which would narrow the choice in every fleet.

--- a/picking.go
+++ b/picking.go
@@ -13,6 +13,8 @@
 	narrowed    = 0.9   // of that many backends once one turned a new connection away ...
 	widened     = 1.003 // ... and after each answer
 	widthLeast  = 3     // idle backends at least among which a choice is made
+	widthFree   = 30.0  // and at most ...
+	widthPart   = 0.1   // ... and this part of all: connections must not grow in step with a fleet
 	crossBias   = 0.1   // chance of an idle backend in another zone, if crossing is priced ...
 	spillAt     = 0.3   // ... and answers from the own zone take no longer; from so much longer on it has the same
 	nearAfter   = 4.0   // longest aims since the limit was cut from which on distance counts
@@ -134,7 +136,8 @@
 	if b.gap == 0 || b.notesOn() { // notes tell of all
 		return len(b.backends)
 	}
-	return max(widthLeast, int(b.narrow*meetAgain*float64(b.period)/b.gap))
+	most := widthFree + widthPart*float64(len(b.backends))
+	return max(widthLeast, int(min(b.narrow*meetAgain*float64(b.period)/b.gap, most)))
 }
 
 // slowness is how much longer this backend takes than the mean, by its answers or
