--- /dev/null
+++ b/review/standin/backend.go
@@ -0,0 +1,96 @@
+package main
+
+// A dispatch node: a process of its own that speaks the protocol page's HTTP/1.1.
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// backendMain serves requests until it is killed, or returns why it can't. It prints the address on which it listens, and a line for each request
+// that it runs.
+func backendMain(args []string) error {
+	flags := flag.NewFlagSet("backend", flag.ExitOnError)
+	name := flags.String("name", "", "name of the backend")
+	service := flags.Duration("service", 100*time.Millisecond, "mean time that a request takes")
+	repeatEvery := flags.Int64("repeat-every", 0, "send every nth answer a second time; 0: none")
+	repeatAfter := flags.Duration("repeat-after", 5*time.Millisecond, "time between an answer and its repetition")
+	_ = flags.Parse(args) // exits on an error
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	out := &lineWriter{}
+	out.printf("LISTEN %s", listener.Addr())
+	var answers atomic.Int64
+	spoils := func() bool { return *repeatEvery > 0 && answers.Add(1)%*repeatEvery == 0 }
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go serveBackendConn(conn, *name, *service, *repeatAfter, spoils, out)
+	}
+}
+
+// serveBackendConn answers the requests of one connection, one at a time.
+func serveBackendConn(conn net.Conn, name string, service, repeatAfter time.Duration, spoils func() bool, out *lineWriter) {
+	defer conn.Close()
+	var writing sync.Mutex
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		size, err := io.Copy(io.Discard, request.Body)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("X-Trace-Id")
+		if request.URL.Path == "/ping" || request.URL.Path == "/_load" {
+			body := `{"inflight":1,"util":0.3,"latency_ms":20}`
+			writing.Lock()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			writing.Unlock()
+			continue
+		}
+		out.printf("RUN %s %s %d", id, request.URL.Path, size)
+		time.Sleep(time.Duration(float64(service) * math.Exp(0.4*rand.NormFloat64()-0.08))) // lognormal
+		body := fmt.Sprintf("answer-to=%s from=%s\n", id, name)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		writing.Lock()
+		_, err = io.WriteString(conn, answer)
+		writing.Unlock()
+		if err != nil {
+			return
+		}
+		if spoils() {
+			out.printf("REPEAT %s", id)
+			time.AfterFunc(repeatAfter, func() {
+				writing.Lock()
+				defer writing.Unlock()
+				_, _ = io.WriteString(conn, answer) // fails if the agent has closed the connection
+			})
+		}
+	}
+}
+
+// lineWriter writes whole lines to standard output, from any goroutine.
+type lineWriter struct{ mu sync.Mutex }
+
+func (w *lineWriter) printf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(os.Stdout, format+"\n", args...)
+}
--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,201 @@
+package main
+
+// A client application: it sends one request at a time on a connection, keeps its connections, and opens another one when
+// all are busy.
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// client sends requests to one agent.
+type client struct {
+	addr string
+
+	mu   sync.Mutex
+	idle []*clientConn
+}
+
+// clientConn is a connection to an agent.
+type clientConn struct {
+	net.Conn
+	reader *bufio.Reader
+	used   bool
+}
+
+// result is what became of one request.
+type result struct {
+	id       string
+	sent     bool          // the last byte was written
+	status   int           // 0: no answer
+	body     string        // of the answer
+	err      error         // why there was no whole answer
+	sending  time.Duration // from the first byte to the last
+	answered time.Duration // from the last byte to the end of the answer, or of the wait
+}
+
+func randomHex(bytes int) string {
+	b := make([]byte, bytes)
+	_, _ = rand.Read(b) // never fails
+	return hex.EncodeToString(b)
+}
+
+// connect returns an idle connection, or a new one.
+func (c *client) connect() (*clientConn, error) {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 {
+		conn := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return conn, nil
+	}
+	c.mu.Unlock()
+	conn, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// head returns the header of a request of a class that concerns a key.
+func head(class, id, key string, timeout time.Duration, bodySize int) string {
+	idempotencyKey := ""
+	if class == "stop-update" {
+		idempotencyKey = "Idempotency-Key: " + id + id + "\r\n"
+	}
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: %s\r\nX-Customer: state-post\r\nCookie: sid=%s\r\n"+
+		"X-Expires-In: %.3f\r\n%sContent-Length: %d\r\n\r\n", class, id, key, timeout.Seconds(), idempotencyKey, bodySize)
+}
+
+// request sends a request and waits for its answer for up to patience after the last byte. A request that crosses the close
+// of a resting connection is sent once more, on a new connection.
+func (c *client) request(class, key string, timeout, patience time.Duration, body string) result {
+	r := result{id: randomHex(8)}
+	for again := false; ; again = true {
+		conn, err := c.connect()
+		if err != nil {
+			r.err = err
+			return r
+		}
+		startedAt := time.Now()
+		if _, r.err = io.WriteString(conn, head(class, r.id, key, timeout, len(body))+body); r.err == nil {
+			r.sent = true
+		}
+		sentAt := time.Now()
+		r.sending = sentAt.Sub(startedAt)
+		if r.err == nil {
+			_ = conn.SetReadDeadline(sentAt.Add(patience)) // fails only on a broken connection
+			r.status, r.body, r.err = readAnswer(conn.reader)
+		}
+		r.answered = time.Since(sentAt)
+		if r.err != nil {
+			conn.Close()
+			var timeout net.Error
+			if conn.used && !again && r.status == 0 && !(errors.As(r.err, &timeout) && timeout.Timeout()) {
+				c.mu.Lock()
+				c.idle = nil
+				c.mu.Unlock()
+				continue
+			}
+			return r
+		}
+		conn.used = true
+		if r.status == http.StatusOK || r.status == http.StatusServiceUnavailable {
+			_ = conn.SetReadDeadline(time.Time{})
+		}
+		c.mu.Lock()
+		c.idle = append(c.idle, conn)
+		c.mu.Unlock()
+		return r
+	}
+}
+
+// readAnswer reads one answer.
+func readAnswer(reader *bufio.Reader) (status int, body string, err error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	var text strings.Builder
+	_, err = io.Copy(&text, response.Body)
+	return response.StatusCode, text.String(), err
+}
+
+// upload sends a request on a connection of its own, at a rate of bytes per second (0: at once). The request counts as sent
+// once the agent's machine has acknowledged its last byte.
+func (c *client) upload(class, key string, timeout, patience time.Duration, body string, rate int) (r result) {
+	r.id = randomHex(8)
+	conn, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer conn.Close()
+	startedAt := time.Now()
+	limit := patience
+	if rate > 0 {
+		limit += time.Duration(len(body)) * time.Second / time.Duration(rate)
+	}
+	_ = conn.SetDeadline(startedAt.Add(limit)) // fails only on a broken connection
+	reader := bufio.NewReader(conn)
+	if r.err = writePaced(conn, head(class, r.id, key, timeout, len(body)), body, rate); r.err != nil {
+		r.status, r.body, _ = readAnswer(reader) // the agent may have answered before the last byte
+		return r
+	}
+	for ; unacknowledged(conn) > 0; time.Sleep(time.Millisecond) {
+		if time.Since(startedAt) > limit {
+			r.err = fmt.Errorf("%d bytes are not acknowledged", unacknowledged(conn))
+			return r
+		}
+	}
+	sentAt := time.Now()
+	r.sent, r.sending = true, sentAt.Sub(startedAt)
+	_ = conn.SetDeadline(sentAt.Add(patience))
+	r.status, r.body, r.err = readAnswer(reader)
+	r.answered = time.Since(sentAt)
+	return r
+}
+
+// writePaced writes a header, and a body at a rate of bytes per second (0: at once).
+func writePaced(w io.Writer, header, body string, rate int) error {
+	const gap = 50 * time.Millisecond
+	if rate == 0 {
+		_, err := io.WriteString(w, header+body)
+		return err
+	}
+	if _, err := io.WriteString(w, header); err != nil {
+		return err
+	}
+	for next := time.Now(); len(body) > 0; time.Sleep(time.Until(next)) {
+		n := min(len(body), max(1, rate*int(gap)/int(time.Second)))
+		if _, err := io.WriteString(w, body[:n]); err != nil {
+			return err
+		}
+		body, next = body[n:], next.Add(gap)
+	}
+	return nil
+}
+
+// unacknowledged returns how many written bytes the receiver's machine has not acknowledged.
+func unacknowledged(conn net.Conn) (n int) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 1
+	}
+	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
+		return 1
+	}
+	return n
+}
