--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -4,7 +4,7 @@
 
 import (
 	"bufio"
-	"flag"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -17,15 +17,21 @@
 	"time"
 )
 
-// backendMain serves requests until it is killed, or returns why it can't. It prints the address on which it listens, and a line for each request
-// that it runs.
-func backendMain(args []string) error {
-	flags := flag.NewFlagSet("backend", flag.ExitOnError)
-	name := flags.String("name", "", "name of the backend")
-	service := flags.Duration("service", 100*time.Millisecond, "mean time that a request takes")
-	repeatEvery := flags.Int64("repeat-every", 0, "send every nth answer a second time; 0: none")
-	repeatAfter := flags.Duration("repeat-after", 5*time.Millisecond, "time between an answer and its repetition")
-	_ = flags.Parse(args) // exits on an error
+// backendConfig describes a backend. It is passed to the backend's process as JSON.
+type backendConfig struct {
+	Name        string
+	Service     time.Duration // mean time that a request takes
+	RepeatEvery int64         // every nth answer is sent a second time; 0: none
+	RepeatAfter time.Duration // from an answer to its repetition
+}
+
+// backendMain serves requests until it is killed, or returns why it can't. It prints the address on which it listens, and a
+// line for each request that it runs.
+func backendMain(configJSON string) error {
+	var config backendConfig
+	if err := json.Unmarshal([]byte(configJSON), &config); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -33,18 +39,18 @@
 	out := &lineWriter{}
 	out.printf("LISTEN %s", listener.Addr())
 	var answers atomic.Int64
-	spoils := func() bool { return *repeatEvery > 0 && answers.Add(1)%*repeatEvery == 0 }
+	spoils := func() bool { return config.RepeatEvery > 0 && answers.Add(1)%config.RepeatEvery == 0 }
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return err
 		}
-		go serveBackendConn(conn, *name, *service, *repeatAfter, spoils, out)
+		go serveBackendConn(conn, config, spoils, out)
 	}
 }
 
 // serveBackendConn answers the requests of one connection, one at a time.
-func serveBackendConn(conn net.Conn, name string, service, repeatAfter time.Duration, spoils func() bool, out *lineWriter) {
+func serveBackendConn(conn net.Conn, config backendConfig, spoils func() bool, out *lineWriter) {
 	defer conn.Close()
 	var writing sync.Mutex
 	reader := bufio.NewReader(conn)
@@ -66,8 +72,8 @@
 			continue
 		}
 		out.printf("RUN %s %s %d", id, request.URL.Path, size)
-		time.Sleep(time.Duration(float64(service) * math.Exp(0.4*rand.NormFloat64()-0.08))) // lognormal
-		body := fmt.Sprintf("answer-to=%s from=%s\n", id, name)
+		time.Sleep(time.Duration(float64(config.Service) * math.Exp(0.4*rand.NormFloat64()-0.08))) // lognormal
+		body := fmt.Sprintf("answer-to=%s from=%s\n", id, config.Name)
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		writing.Lock()
 		_, err = io.WriteString(conn, answer)
@@ -77,7 +83,7 @@
 		}
 		if spoils() {
 			out.printf("REPEAT %s", id)
-			time.AfterFunc(repeatAfter, func() {
+			time.AfterFunc(config.RepeatAfter, func() {
 				writing.Lock()
 				defer writing.Unlock()
 				_, _ = io.WriteString(conn, answer) // fails if the agent has closed the connection
--- a/review/standin/bulkmemory.go
+++ b/review/standin/bulkmemory.go
@@ -24,7 +24,7 @@
 	if trouble {
 		size = 300_000
 	}
-	backends, err := f.startBackends(10)
+	backends, err := f.startBackends(10, backendConfig{Service: 100 * time.Millisecond})
 	if err != nil {
 		return false, err
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -97,10 +97,11 @@
 	return p, nil
 }
 
-// startBackends starts n backends with the same arguments.
-func (f *fleet) startBackends(n int, args ...string) (backends []*process, err error) {
+// startBackends starts n backends that differ in their names.
+func (f *fleet) startBackends(n int, config backendConfig) (backends []*process, err error) {
 	for i := range n {
-		b, err := f.startBackend(fmt.Sprintf("b%d", i+1), args...)
+		config.Name = fmt.Sprintf("b%d", i+1)
+		b, err := f.startBackend(config)
 		if err != nil {
 			return nil, err
 		}
@@ -110,12 +111,17 @@
 }
 
 // startBackend starts a backend and records what it runs.
-func (f *fleet) startBackend(name string, args ...string) (*process, error) {
+func (f *fleet) startBackend(config backendConfig) (*process, error) {
+	name := config.Name
+	encoded, err := json.Marshal(config)
+	if err != nil {
+		return nil, err
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(self, append([]string{"backend", "--name", name}, args...)...)
+	cmd := exec.Command(self, "backend", string(encoded))
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -218,7 +224,7 @@
 	for i := range n {
 		name := fmt.Sprintf("n%d", i+1)
 		config, err := json.Marshal(map[string]any{"name": name, "listen": listen[i], "discovery": discovery,
-			"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+			"seed": randomHex(8), "limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 			"peer_listen": peers[i], "peers": peers, "known": serverList{Version: 41, Full: true, Servers: list}, "settings": settings(n, i)})
 		if err != nil {
 			return nil, err
--- a/review/standin/hungbackend.go
+++ b/review/standin/hungbackend.go
@@ -17,7 +17,7 @@
 		gap                      = 60 * time.Millisecond // between two uploads to one agent
 		timeout, grace           = 2 * time.Second, 500 * time.Millisecond
 	)
-	backends, err := f.startBackends(backendCount)
+	backends, err := f.startBackends(backendCount, backendConfig{Service: 100 * time.Millisecond})
 	if err != nil {
 		return false, err
 	}
--- a/review/standin/latesecondanswer.go
+++ b/review/standin/latesecondanswer.go
@@ -17,11 +17,11 @@
 		duration                 = 20 * time.Second
 		timeout                  = 2 * time.Second
 	)
-	args := []string{"--service", "150ms"}
+	config := backendConfig{Service: 150 * time.Millisecond}
 	if trouble {
-		args = append(args, "--repeat-every", "20", "--repeat-after", "8ms")
+		config.RepeatEvery, config.RepeatAfter = 20, 8*time.Millisecond
 	}
-	backends, err := f.startBackends(backendCount, args...)
+	backends, err := f.startBackends(backendCount, config)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,8 +25,8 @@
 }
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "backend" {
-		fmt.Fprintln(os.Stderr, backendMain(os.Args[2:]))
+	if len(os.Args) == 3 && os.Args[1] == "backend" {
+		fmt.Fprintln(os.Stderr, backendMain(os.Args[2]))
 		os.Exit(exitNotRun)
 	}
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
