--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -35,7 +35,9 @@
 type fleet struct {
 	record *recorder
 	dir    string
-	procs  []*process
+
+	mu    sync.Mutex
+	procs []*process
 }
 
 // process is a started process.
@@ -66,6 +68,8 @@
 
 // close ends all processes and removes the folder.
 func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, p := range f.procs {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
@@ -81,6 +85,12 @@
 	}
 }
 
+func (f *fleet) add(p *process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.procs = append(f.procs, p)
+}
+
 // start starts a process that is killed when this one ends.
 func (f *fleet) start(name string, cmd *exec.Cmd) (*process, error) {
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -88,7 +98,7 @@
 		return nil, err
 	}
 	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
-	f.procs = append(f.procs, p)
+	f.add(p)
 	go func() {
 		err := cmd.Wait()
 		f.record.printf("process %s ended: %v", name, err)
@@ -132,9 +142,11 @@
 		return nil, err
 	}
 	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
-	f.procs = append(f.procs, p)
+	f.add(p)
 	lines := bufio.NewScanner(out)
 	if !lines.Scan() {
+		_ = cmd.Wait()
+		close(p.done)
 		return nil, fmt.Errorf("backend %s printed no address", name)
 	}
 	p.addr = strings.TrimPrefix(lines.Text(), "LISTEN ")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -51,6 +53,13 @@
 		return exitNotRun
 	}
 	defer f.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		f.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := p(f, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
