--- a/review/standin/bulkmemory.go
+++ b/review/standin/bulkmemory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"strings"
@@ -14,7 +15,7 @@
 // within its memory limit; over it the platform kills the agent, and this play does the same.
 func playBulkMemory(f *fleet, trouble bool) (broken bool, err error) {
 	const (
-		memoryMB, sockets = 64, 1024
+		memoryMB, sockets = 48, 896
 		clients           = sockets / 3
 		rate              = 64_000 // bytes a second
 		duration          = 20 * time.Second
@@ -39,6 +40,7 @@
 	for range clients {
 		requests.Go(func() {
 			c := &client{addr: agent.addr}
+			time.Sleep(rand.N(time.Duration(size) * time.Second / rate)) // clients don't begin together
 			for end := time.Now().Add(duration); time.Now().Before(end) && !agent.ended(); {
 				r := c.upload("route-assign", randomHex(8), timeout, timeout+500*time.Millisecond, strings.Repeat("x", size), rate)
 				f.record.printf("client: %s, %d bytes, taken %v in %v, answered %d after %v: %v", r.id, size, r.sent, r.sending, r.status,
