--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -136,39 +137,69 @@
 	return response.StatusCode, text.String(), !response.Close, err
 }
 
-// upload sends a request on a connection of its own, at a rate of bytes per second (0: at once). The request counts as sent
-// once the agent's machine has acknowledged its last byte.
-func (c *client) upload(class, key string, timeout, patience time.Duration, body string, rate int) (r result) {
-	r.id = randomHex(8)
-	conn, err := net.Dial("tcp", c.addr)
-	if err != nil {
-		r.err = err
-		return r
+// upload sends a request at a rate of bytes per second (0: at once). The request counts as sent once the agent's machine has
+// acknowledged its last byte. One that crosses the close of a resting connection is sent once more, on a new connection.
+func (c *client) upload(class, key string, timeout, patience time.Duration, body string, rate int) result {
+	id := randomHex(8)
+	for again := false; ; again = true {
+		conn, err := c.connect()
+		if err != nil {
+			return result{id: id, err: err}
+		}
+		r, keep := conn.upload(head(class, id, key, timeout, len(body)), body, patience, rate)
+		r.id = id
+		if keep {
+			conn.used = true
+			_ = conn.SetDeadline(time.Time{}) // fails only on a broken connection
+			c.mu.Lock()
+			c.idle = append(c.idle, conn)
+			c.mu.Unlock()
+			return r
+		}
+		conn.Close()
+		if !conn.used || again || r.status != 0 || r.err == nil || errors.Is(r.err, os.ErrDeadlineExceeded) {
+			return r
+		}
+		c.mu.Lock()
+		c.idle = nil
+		c.mu.Unlock()
 	}
-	defer conn.Close()
+}
+
+// upload sends a request and waits for its answer for up to patience after the last byte. keep reports whether the connection
+// can be used again.
+func (c *clientConn) upload(header, body string, patience time.Duration, rate int) (r result, keep bool) {
 	startedAt := time.Now()
 	limit := patience
 	if rate > 0 {
 		limit += time.Duration(len(body)) * time.Second / time.Duration(rate)
 	}
-	_ = conn.SetDeadline(startedAt.Add(limit)) // fails only on a broken connection
-	reader := bufio.NewReader(conn)
-	if r.err = writePaced(conn, head(class, r.id, key, timeout, len(body)), body, rate); r.err != nil {
-		r.status, r.body, _, _ = readAnswer(reader) // the agent may have answered before the last byte
-		return r
+	_ = c.SetDeadline(startedAt.Add(limit)) // fails only on a broken connection
+	if r.err = writePaced(c, header, body, rate); r.err != nil {
+		r.status, r.body, _, _ = readAnswer(c.reader) // the agent may have answered before the last byte
+		return r, false
 	}
-	for ; unacknowledged(conn) > 0; time.Sleep(time.Millisecond) {
-		if time.Since(startedAt) > limit {
-			r.err = fmt.Errorf("%d bytes are not acknowledged", unacknowledged(conn))
-			return r
+	for {
+		pending, err := unacknowledged(c.Conn)
+		if err == nil && pending == 0 {
+			break
 		}
+		if err == nil && time.Since(startedAt) > limit {
+			err = fmt.Errorf("%d bytes are not acknowledged: %w", pending, os.ErrDeadlineExceeded)
+		}
+		if r.err = err; err != nil {
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+			r.status, r.body, _, _ = readAnswer(c.reader) // the agent may have answered before the last byte
+			return r, false
+		}
+		time.Sleep(time.Millisecond)
 	}
 	sentAt := time.Now()
 	r.sent, r.sending = true, sentAt.Sub(startedAt)
-	_ = conn.SetDeadline(sentAt.Add(patience))
-	r.status, r.body, _, r.err = readAnswer(reader)
+	_ = c.SetDeadline(sentAt.Add(patience))
+	r.status, r.body, keep, r.err = readAnswer(c.reader)
 	r.answered = time.Since(sentAt)
-	return r
+	return r, keep && r.err == nil
 }
 
 // writePaced writes a header, and a body at a rate of bytes per second (0: at once).
@@ -191,14 +222,20 @@
 	return nil
 }
 
-// unacknowledged returns how many written bytes the receiver's machine has not acknowledged.
-func unacknowledged(conn net.Conn) (n int) {
+// unacknowledged returns how many written bytes the receiver's machine has not acknowledged, or why the connection is broken.
+func unacknowledged(conn net.Conn) (n int, err error) {
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return 1
-	}
-	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
-		return 1
+		return 0, err
 	}
-	return n
+	controlErr := raw.Control(func(fd uintptr) {
+		var broken int // a reset leaves SIOCOUTQ as it was
+		if broken, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); err == nil && broken != 0 {
+			err = unix.Errno(broken)
+		}
+		if err == nil {
+			n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		}
+	})
+	return n, errors.Join(controlErr, err)
 }
