Read the intact hot-restart record first in the test of torn ones

TestTornRecordIsIgnoredAndReplaced wrote the record once and read the intact one last, after some 1,150 registrations. On a machine whose file system was slow that took 39 s and 48 s, so the record was stale (30 s) and the test red, alone too.

--- a/internal/agent/handover/store_test.go
+++ b/internal/agent/handover/store_test.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for cut := range len(intact) + 1 {
+	for cut := len(intact); cut >= 0; cut-- { // the intact record first: it is stale once it is maxRecordAge old
 		for _, newFileText := range []string{"", "{", string(intact)} {
 			dir := t.TempDir()
 			text := intact[:cut]
