End an attempt whose backend switches protocols unasked

Cause: net/http returns the bare connection as the body of a 101, and neither the deadline nor a cancel ends a read of it, so the attempt and its connection stayed. Such an answer can't be read as the protocol requires: the attempt is a reset, and its connection is closed. TestUnrequestedUpgradeIsReset did not end within 10 s before.

--- a/internal/agent/upstream/attempt_test.go
+++ b/internal/agent/upstream/attempt_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// TestUnrequestedUpgradeIsReset: a backend switches protocols although no attempt asks for it, and then sends nothing. Guards
+// against an attempt that neither its deadline nor a cancellation ends.
+func TestUnrequestedUpgradeIsReset(t *testing.T) {
+	for name, response := range map[string]string{
+		"upgrade": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: 5\r\n\r\n",
+		"bare":    "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 5\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := startRawBackend(t, func(int) string { return response })
+			pool := poolWithBackend(t, backend.addr)
+			if result, _, _ := attemptOn(t, pool, context.Background(), ""); result != balancer.Reset {
+				t.Errorf("result %v, want Reset", result)
+			}
+			if pool.openConns != 0 {
+				t.Errorf("%d connections open, want 0", pool.openConns)
+			}
+		})
+	}
+}
+
 func TestCancelledAttemptIsReportedCancelled(t *testing.T) {
 	release := make(chan struct{})
 	defer close(release)
--- a/internal/agent/upstream/response.go
+++ b/internal/agent/upstream/response.go
@@ -24,6 +24,10 @@
 	httpResp *http.Response) (balancer.Result, *Response, balancer.Load) {
 	p.recordReuse(conn, false)
 	defer httpResp.Body.Close()
+	if httpResp.StatusCode == http.StatusSwitchingProtocols {
+		// No attempt asks for an upgrade, and net/http returns the bare connection as the body, whose reads no context ends.
+		return p.failedResult(att, conn, body), nil, wire.ParseLoad(nil)
+	}
 	done := make(chan struct{})
 	defer close(done)
 	resp, err := p.readResponse(att, httpResp, done)
