--- a/balancer/api.go
+++ b/balancer/api.go
@@ -152,7 +152,10 @@
 	// Residency sets the residency policy, which is in force from this step on.
 	Residency struct{ Table *gate.Table }
 	// BodyComplete reports that the last byte of a large body has arrived.
-	BodyComplete struct{ Request string }
+	BodyComplete struct {
+		Request       string
+		TimeRemaining time.Duration // until the client stops waiting; 0: as long as the Request announced
+	}
 	// BodyConsumed reports that part of a large body is no longer available, so that no further attempt is possible.
 	BodyConsumed struct{ Request string }
 	// Outcome ends one attempt. The agent reports exactly one for each Send.
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -171,7 +171,10 @@
 	}
 	req.streaming = false
 	class := &b.classes[req.class]
-	timeout := req.deadline - req.timedFrom
+	timeout := event.TimeRemaining
+	if timeout == 0 {
+		timeout = req.deadline - req.timedFrom
+	}
 	req.timedFrom, req.deadline, req.objectiveAt = b.now, b.now+timeout, b.now+min(class.LatencyObjective, timeout)
 	for _, a := range req.attempts {
 		if a.open && !a.occupying {
--- a/balancer/streaming_test.go
+++ b/balancer/streaming_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// The deadline of a large request counts from the arrival of its last byte, which the agent may detect late.
+func TestBodyCompleteSetsTheTimeRemaining(t *testing.T) {
+	for remaining, want := range map[time.Duration]int{0: 2, 300 * ms: 1} { // 0: as long as the request announced
+		r := newRig(t, settings(), 1, backends(2))
+		r.step(balancer.Request{ID: "q", Class: idempotent, TimeRemaining: 2000 * ms, Streaming: true})
+		r.advance(1000 * ms)
+		r.step(balancer.BodyComplete{Request: "q", TimeRemaining: remaining})
+		r.advance(400 * ms)
+		r.outcome("q", balancer.ConnectFailed, 400*ms) // a retry is possible until the deadline
+		r.advance(200 * ms)
+		if got := len(r.sent["q"]); got != want {
+			t.Errorf("remaining time %v: %d attempts, want %d", remaining, got, want)
+		}
+	}
+}
+
 // Once part of the body is consumed, no retry is possible. If the attempt was never executed, the request is refused,
 // so that the client may retry.
 func TestConsumedBodyIsNotRetried(t *testing.T) {
--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -93,14 +93,14 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	index, timer := len(r.cancels), &attemptTimer{cancel: cancel}
 	r.cancels, r.attemptTimers = append(r.cancels, cancel), append(r.attemptTimers, timer)
-	if !r.upstream.IsStreamed() || r.upstream.Upload.IsComplete() {
+	if !r.upstream.IsStreamed() || r.deadlineFinal {
 		timer.arm(deadline)
 	}
 	r.openAttempts++
 	l.counts.attempts++
 	endpoint, writeBy := l.pool.Endpoint(action.Backend), time.Time{}
 	if action.SendDeadline > 0 {
-		writeBy = l.clock.epoch.Add(action.SendDeadline - clockOffset)
+		writeBy = l.clock.time(action.SendDeadline)
 	}
 	go l.runAttempt(ctx, r, index, timer, &upstream.Attempt{Cancel: cancel, RequestDone: r.done, Shutdown: l.stopped,
 		BackendID: action.Backend, Endpoint: endpoint, WriteBy: writeBy, ResidencyRule: r.residencyRule,
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -84,9 +84,10 @@
 // draining reports whether the agent is draining clients. While it does, each reply closes its connection.
 func (f *frontend) draining() bool { return f.loop.lameDuck.Load() || f.drainDeadline.Load() != 0 }
 
-// drainBy starts a drain in which each reply closes its connection and is due by the deadline.
+// drainBy starts a drain in which each reply closes its connection and is due by the deadline. It may be called once.
 func (f *frontend) drainBy(deadline time.Time) {
 	f.drainDeadline.Store(int64(f.loop.clock.at(deadline)))
+	close(f.drainStarted)
 }
 
 // setLameDuck switches the lame duck state, in which the agent drains clients, on an operator's call.
--- a/internal/agent/eventloop.go
+++ b/internal/agent/eventloop.go
@@ -154,12 +154,7 @@
 	events := l.pending
 	l.pending = nil
 	for i, pending := range events {
-		// The remaining time is computed at the step, because the request has waited for the step since its arrival. A
-		// request whose client has disconnected is no longer in the table.
-		if arrived, ok := pending.(balancer.Request); ok && l.requests[arrived.ID] != nil {
-			arrived.TimeRemaining = l.clock.at(l.requests[arrived.ID].deadline) - l.margin - now
-			events[i] = arrived
-		}
+		events[i] = l.withTimeRemaining(pending, now)
 	}
 	for _, action := range l.balancer.Step(now, events) {
 		l.perform(action, now)
@@ -167,6 +162,25 @@
 	return true
 }
 
+// withTimeRemaining sets the remaining time of an event that carries one. It is computed at the step, because the event has
+// waited for the step since its arrival. A request whose client has disconnected is no longer in the table.
+func (l *eventLoop) withTimeRemaining(pending balancer.Event, now time.Duration) balancer.Event {
+	remaining := func(id string) time.Duration { return l.clock.at(l.requests[id].deadline) - l.margin - now }
+	switch arrived := pending.(type) {
+	case balancer.Request:
+		if l.requests[arrived.ID] != nil {
+			arrived.TimeRemaining = remaining(arrived.ID)
+		}
+		return arrived
+	case balancer.BodyComplete:
+		if l.requests[arrived.Request] != nil {
+			arrived.TimeRemaining = max(1, remaining(arrived.Request))
+		}
+		return arrived
+	}
+	return pending
+}
+
 // stop closes stopped and cancels the attempts in flight, because no client waits for them after the loop has stopped.
 func (l *eventLoop) stop() {
 	close(l.stopped)
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -3,6 +3,8 @@
 // The events that other goroutines post to the event loop, and their effects.
 
 import (
+	"time"
+
 	"martenbeam/balancer"
 	"martenbeam/internal/agent/discovery"
 	"martenbeam/internal/agent/upstream"
@@ -18,8 +20,12 @@
 	requestArrived     struct{ *request }
 	clientDisconnected struct{ *request } // the client closed or reset its connection, or cancelled the request
 	deadlineExceeded   struct{ *request } // no reply by the deadline plus half of the answer grace
-	bodyComplete       struct{ *request } // the last byte of a streamed body has arrived
-	responseStarted    struct {           // the first bytes of an attempt's streaming response have arrived
+	uploadExpired      struct{ *request } // a streamed body that has not arrived completely can't be forwarded any more
+	bodyComplete       struct {           // the last byte of a streamed body has arrived, read or unread
+		*request
+		deadline time.Time // of the client
+	}
+	responseStarted struct { // the first bytes of an attempt's streaming response have arrived
 		*request
 		attempt  int
 		response *upstream.Response
@@ -46,13 +52,31 @@
 }
 
 func (e bodyComplete) applyTo(l *eventLoop) {
-	e.deadline = e.upstream.Upload.CompletedAt().Add(e.timeout)
-	for _, timer := range e.attemptTimers {
-		timer.arm(e.deadline.Add(-l.margin))
-	}
+	l.setDeadline(e.request, e.deadline)
 	l.pending = append(l.pending, balancer.BodyComplete{Request: e.id})
 }
 
+// setDeadline sets the final deadline of a request whose body is streamed, and starts the timers of its attempts.
+func (l *eventLoop) setDeadline(r *request, deadline time.Time) {
+	r.deadline, r.deadlineFinal = deadline, true
+	for _, timer := range r.attemptTimers {
+		timer.arm(deadline.Add(-l.margin))
+	}
+}
+
+// applyTo ends the attempts as timed out, after which the balancer answers the request. Without an attempt, nothing could
+// forward the body, and the loop answers.
+func (e uploadExpired) applyTo(l *eventLoop) {
+	if e.finished {
+		return
+	}
+	if e.openAttempts == 0 {
+		l.failUnanswered(e.request)
+		return
+	}
+	l.setDeadline(e.request, time.Now())
+}
+
 func (e responseStarted) applyTo(l *eventLoop) {
 	if e.finished {
 		e.response.Stream.Finish(upstream.ErrRequestEnded)
@@ -106,9 +130,14 @@
 	l.log.Error("request not answered by its deadline", "request", e.id, "attempts", len(e.cancels), "open", e.openAttempts,
 		"left_on_arrival", e.timeout)
 	l.counts.overdue++
-	l.respond(e.request, reply{timedOut: true})
-	l.pending = append(l.pending, balancer.Abandoned{Request: e.id})
-	l.removeIfDone(e.request)
+	l.failUnanswered(e.request)
+}
+
+// failUnanswered answers a request as timed out without the balancer, and notifies the balancer.
+func (l *eventLoop) failUnanswered(r *request) {
+	l.respond(r, reply{timedOut: true})
+	l.pending = append(l.pending, balancer.Abandoned{Request: r.id})
+	l.removeIfDone(r)
 }
 
 func (e endpointsUpdated) applyTo(l *eventLoop) {
--- a/internal/agent/frontend.go
+++ b/internal/agent/frontend.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"martenbeam/internal/agent/clientconn"
-	"martenbeam/internal/agent/upstream"
 	"martenbeam/internal/residency/gate"
 )
 
@@ -28,8 +27,9 @@
 	bodyTimeout  time.Duration // time for a small body to arrive, counted from the request's first byte; tests change it
 	maxBodyGap   time.Duration // longest wait for the body's next byte; tests change it
 
-	accepting     atomic.Bool  // for admin calls: the agent accepts clients' requests
-	drainDeadline atomic.Int64 // when all replies are due, in nanoseconds on the event loop's clock; 0: not stopping
+	accepting     atomic.Bool   // for admin calls: the agent accepts clients' requests
+	drainDeadline atomic.Int64  // when all replies are due, in nanoseconds on the event loop's clock; 0: not stopping
+	drainStarted  chan struct{} // closed once drainDeadline is set
 
 	residency gate.Enforcer // nil: no residency policy
 
@@ -51,7 +51,7 @@
 
 func newFrontend(cfg *Config, l *eventLoop, log *slog.Logger) *frontend {
 	f := &frontend{cfg: cfg, loop: l, classIndex: map[string]int{},
-		bodyTimeout: bodyTimeout, maxBodyGap: maxBodyGap, idleConns: clientconn.NewIdleConns()}
+		bodyTimeout: bodyTimeout, maxBodyGap: maxBodyGap, idleConns: clientconn.NewIdleConns(), drainStarted: make(chan struct{})}
 	f.setLimit(maxClientConns(cfg.shareableDescriptors()))
 	for i, name := range cfg.Site.Classes {
 		f.classIndex[name] = i
@@ -221,40 +221,6 @@
 	f.writeReply(w, httpReq, answer)
 }
 
-// serveUpload serves a request whose body is streamed. A goroutine reads the body; it has ended when serveUpload returns.
-func (f *frontend) serveUpload(w http.ResponseWriter, httpReq *http.Request, r *request) {
-	upload, readerDone := r.upstream.Upload, make(chan struct{})
-	go func() {
-		defer close(readerDone)
-		upload.Pump(&minThroughputReader{source: httpReq.Body, control: http.NewResponseController(w),
-			allowance: max(f.maxBodyGap, clientStallTimeout), maxGap: max(f.maxBodyGap, clientStallTimeout),
-			received: int64(len(r.upstream.Body))}, f.loop.pool.Buffers)
-	}()
-	answer := f.awaitReply(httpReq, r)
-	f.closeAfterReply(w)
-	f.finishUpload(w, upload)
-	<-readerDone
-	select {
-	case <-upload.Failed():
-		failure := bodyError(upload.Err())
-		http.Error(w, failure.text, failure.status)
-	default:
-		f.writeReply(w, httpReq, answer)
-	}
-}
-
-// finishUpload stops reading a streamed body that is not complete. It also renews the connection's write deadline, because the
-// upload may have used most of the time until the old one.
-func (f *frontend) finishUpload(w http.ResponseWriter, upload *upstream.Upload) {
-	control := http.NewResponseController(w)
-	if !upload.IsComplete() {
-		w.Header().Set("Connection", "close")   // the rest of the body is not read
-		_ = control.SetReadDeadline(time.Now()) // fails only on a broken connection
-	}
-	upload.Stop(upstream.ErrRequestEnded)
-	_ = control.SetWriteDeadline(time.Now().Add(f.server.WriteTimeout))
-}
-
 // bodyTimeLeft returns the time left for a small body. A client may take 2 s for a header and split its bytes anywhere. A
 // client that never sends a complete request is disconnected within 3 s of connecting.
 func (f *frontend) bodyTimeLeft(httpReq *http.Request) time.Duration {
@@ -271,31 +237,17 @@
 	}
 }
 
-// awaitReply posts a request to the event loop and waits for the reply. It returns a failure if the event loop stops first.
+// awaitReply posts a request whose body is complete to the event loop and waits for the reply. It returns a failure if the
+// event loop stops first.
 func (f *frontend) awaitReply(httpReq *http.Request, r *request) reply {
 	f.loop.post(requestArrived{r})
-	// A request that arrives less than a tick before its deadline is answered by the balancer's next step. Half of the
-	// answer grace leaves time for this step after the deadline.
-	deadlineTimer := time.NewTimer(time.Until(r.deadline) + f.cfg.Settings.AnswerGrace/2)
+	deadlineTimer := time.NewTimer(f.untilOverdue(r.deadline))
 	defer deadlineTimer.Stop()
 	disconnected := httpReq.Context().Done()
-	var bodyCompleted, bodyFailed <-chan struct{}
-	upload := r.upstream.Upload
-	if upload != nil { // the deadline counts from the last byte of the body
-		bodyCompleted, bodyFailed = upload.Completed(), upload.Failed()
-		deadlineTimer.Stop()
-	}
 	for {
 		select {
 		case answer := <-r.reply:
 			return answer
-		case <-bodyCompleted:
-			f.loop.post(bodyComplete{r})
-			deadlineTimer.Reset(time.Until(upload.CompletedAt().Add(r.timeout)) + f.cfg.Settings.AnswerGrace/2)
-			bodyCompleted = nil
-		case <-bodyFailed:
-			f.loop.post(clientDisconnected{r})
-			bodyFailed = nil
 		case <-disconnected:
 			f.loop.post(clientDisconnected{r})
 			disconnected = nil
@@ -306,3 +258,22 @@
 		}
 	}
 }
+
+// untilOverdue returns the time until the frontend stops waiting for the balancer's reply to a request. A request that
+// arrives less than a tick before its deadline is answered by the balancer's next step. Half of the answer grace leaves time
+// for this step after the deadline.
+func (f *frontend) untilOverdue(deadline time.Time) time.Duration {
+	return time.Until(deadline) + f.cfg.Settings.AnswerGrace/2
+}
+
+// replyDeadline returns the deadline of a request whose last byte arrived at a time. While the agent stops, all replies are due
+// by the end of its drain, because the platform kills the process soon after it.
+func (f *frontend) replyDeadline(lastByteAt time.Time, timeout time.Duration) time.Time {
+	deadline := lastByteAt.Add(timeout)
+	if drainDeadline := f.drainDeadline.Load(); drainDeadline != 0 {
+		if drainEnd := f.loop.clock.time(time.Duration(drainDeadline)); drainEnd.Before(deadline) {
+			return drainEnd
+		}
+	}
+	return deadline
+}
--- a/internal/agent/openrequest.go
+++ b/internal/agent/openrequest.go
@@ -15,7 +15,7 @@
 	id            string
 	class         int
 	upstream      *upstream.Request
-	deadline      time.Time     // of the client, counted from the request's last byte
+	deadline      time.Time     // of the client, counted from the request's last byte that has arrived
 	timeout       time.Duration // from the request's last byte to the deadline
 	sizeHint      time.Duration // expected work, from X-Size-Hint; 0: unknown
 	clientRetry   bool
@@ -25,6 +25,7 @@
 	done          chan struct{} // closed with the final reply
 
 	finished        bool // the final reply was sent, or the client has disconnected
+	deadlineFinal   bool // no byte of a streamed body can move the deadline any more
 	openAttempts    int
 	cancels         []context.CancelCauseFunc
 	attemptTimers   []*attemptTimer // indexed by attempt, like cancels
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -53,11 +53,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if deadline := time.Duration(f.drainDeadline.Load()); deadline != 0 { // the platform kills the process soon after it
-		r.timeout = max(0, min(r.timeout, deadline-f.loop.clock.now()))
-	}
 	// A client's deadline counts from the last byte of its request.
-	r.deadline = lastByteAt(httpReq).Add(r.timeout)
+	r.deadline = f.replyDeadline(lastByteAt(httpReq), r.timeout)
 	r.upstream = newUpstreamRequest(httpReq, body)
 	if more {
 		r.upstream.Upload = upstream.NewUpload(httpReq.ContentLength)
--- a/internal/agent/timers.go
+++ b/internal/agent/timers.go
@@ -15,6 +15,9 @@
 func (c clock) now() time.Duration           { return c.at(time.Now()) }
 func (c clock) at(t time.Time) time.Duration { return t.Sub(c.epoch) + clockOffset }
 
+// time is the inverse of at.
+func (c clock) time(at time.Duration) time.Time { return c.epoch.Add(at - clockOffset) }
+
 // timer is a pending timer of the balancer.
 type timer struct {
 	at    time.Duration
--- a/internal/agent/upload_test.go
+++ b/internal/agent/upload_test.go
@@ -201,3 +201,28 @@
 		}
 	})
 }
+
+// TestStalledUploadIsEnded: if a backend stops reading a body that has not arrived completely, the request is ended after
+// upstream.StallTimeout. Guards against an attempt that stays blocked in its write after the upload has been given up.
+func TestStalledUploadIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, dial := startPipeFrontend(t, testConfig(t, testSetup{}))
+		f.loop.ready.Store(true)
+		c := dial()
+		go func() {
+			_, _ = io.WriteString(c, postHeader("/pay/x", "Content-Length: 1000000\r\n")+pattern(5*upstream.MaxBufferedBody))
+		}()
+		r := (<-f.loop.events).(requestArrived)
+		startedAt := time.Now()
+		expired, ok := (<-f.loop.events).(uploadExpired) // nobody reads the upload
+		if took := time.Since(startedAt); !ok || took != upstream.StallTimeout {
+			t.Fatalf("upload expired: %v, after %v; want true and %v", ok, took, upstream.StallTimeout)
+		}
+		f.loop.apply(r)
+		f.loop.apply(expired)
+		if status, _ := readUntilClosed(c); status != http.StatusGatewayTimeout {
+			t.Errorf("status %d, want 504", status)
+		}
+		close(f.loop.stopped)
+	})
+}
--- a/internal/agent/upstream/upload.go
+++ b/internal/agent/upstream/upload.go
@@ -15,23 +15,26 @@
 	pipeWriter    *io.PipeWriter
 	pipeReader    *io.PipeReader
 	streamStarted atomic.Bool   // an attempt has read beyond the buffered part, so the body can't be sent again
-	completed     chan struct{} // closed when the last byte has arrived
+	blocked       atomic.Bool   // Pump waits for an attempt to read
+	completed     chan struct{} // closed when the last byte has been read from the client
 	completedAt   time.Time     // valid once completed is closed
 	failed        chan struct{} // closed if the last byte will never arrive
 	err           error         // the reason; valid once failed is closed
+	stalled       chan struct{} // closed if no attempt has read a byte for StallTimeout
 }
 
 // NewUpload returns the upload of a body of length bytes; -1: unknown.
 func NewUpload(length int64) *Upload {
-	u := &Upload{length: length, completed: make(chan struct{}), failed: make(chan struct{})}
+	u := &Upload{length: length, completed: make(chan struct{}), failed: make(chan struct{}),
+		stalled: make(chan struct{})}
 	u.pipeReader, u.pipeWriter = io.Pipe()
 	return u
 }
 
-// Completed is closed when the last byte has arrived.
+// Completed is closed when the last byte has been read from the client.
 func (u *Upload) Completed() <-chan struct{} { return u.completed }
 
-// CompletedAt returns when the last byte arrived. It may be called only after Completed is closed.
+// CompletedAt returns when the last byte was read. It may be called only after Completed is closed.
 func (u *Upload) CompletedAt() time.Time { return u.completedAt }
 
 // Failed is closed if the last byte will never arrive.
@@ -40,7 +43,14 @@
 // Err returns why the client failed to send the body. It may be called only after Failed is closed.
 func (u *Upload) Err() error { return u.err }
 
-// IsComplete reports whether the last byte has arrived.
+// Stalled is closed if no attempt has read a byte that arrived for StallTimeout. The attempt must be cancelled then: it may
+// be blocked in a write to its backend.
+func (u *Upload) Stalled() <-chan struct{} { return u.stalled }
+
+// IsBlocked reports whether Pump waits for an attempt to read. The last byte may then have arrived without being read.
+func (u *Upload) IsBlocked() bool { return u.blocked.Load() }
+
+// IsComplete reports whether the last byte has been read from the client.
 func (u *Upload) IsComplete() bool {
 	select {
 	case <-u.completed:
@@ -59,7 +69,8 @@
 
 // Pump copies the body from the client to the attempt, no faster than the attempt reads. It returns when the body is
 // complete, or the client or the attempt has failed. A failure of the client closes Failed and nothing else: the receiver
-// of Failed cancels the attempt, since the failure must not be attributed to the backend.
+// of Failed cancels the attempt, since the failure must not be attributed to the backend. If no attempt reads for
+// StallTimeout, Stalled is closed.
 func (u *Upload) Pump(body ClientBody, b *Buffers) {
 	buf, free := b.Get()
 	defer free()
@@ -88,7 +99,12 @@
 
 // forward waits until the attempt has read p. It returns false if the upload was stopped, also after StallTimeout.
 func (u *Upload) forward(p []byte) bool {
-	stallTimer := time.AfterFunc(StallTimeout, func() { u.Stop(ErrStalled) })
+	u.blocked.Store(true)
+	defer u.blocked.Store(false)
+	stallTimer := time.AfterFunc(StallTimeout, func() {
+		close(u.stalled) // at most once: the upload is stopped then
+		u.Stop(ErrStalled)
+	})
 	defer stallTimer.Stop()
 	_, err := u.pipeWriter.Write(p)
 	return err == nil
--- a/internal/tcpinfo/tcpinfo.go
+++ b/internal/tcpinfo/tcpinfo.go
@@ -1,5 +1,6 @@
 // Package tcpinfo queries the kernel for the state of a TCP connection that a read does not reveal: whether the peer has
-// closed the connection while received data is still unread, and when data last arrived. See tcp(7), TCP_INFO.
+// closed the connection while received data is still unread, when data last arrived, and how much is queued in the kernel.
+// See tcp(7), TCP_INFO.
 package tcpinfo
 
 import (
@@ -51,3 +52,27 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
+
+// UnreadBytes returns how many received bytes of a connection the process has not read, and whether the kernel reported them.
+func UnreadBytes(conn net.Conn) (n int, known bool) { return queryQueue(conn, unix.SIOCINQ) }
+
+// UnacknowledgedBytes returns how many written bytes the peer's machine has not acknowledged, and whether the kernel reported
+// them.
+func UnacknowledgedBytes(conn net.Conn) (n int, known bool) { return queryQueue(conn, unix.SIOCOUTQ) }
+
+// queryQueue returns the length in bytes of one of a connection's kernel queues. See tcp(7), ioctls.
+func queryQueue(conn net.Conn, request uint) (n int, known bool) {
+	sysConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sysConn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var ioctlErr error
+	if err = raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), request) }); err != nil || ioctlErr != nil {
+		return 0, false
+	}
+	return n, true
+}
