--- a/internal/agent/clientbody.go
+++ b/internal/agent/clientbody.go
@@ -3,12 +3,14 @@
 // Reads the body of a client's request.
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 )
 
@@ -48,30 +50,82 @@
 	return n, err
 }
 
-// readBody reads the complete body if it has at most upstream.MaxBufferedBody bytes, and otherwise its first bytes. more
-// reports that the rest of the body has to be streamed.
-func (f *frontend) readBody(w http.ResponseWriter, httpReq *http.Request) (body []byte, more bool, failure *inputError) {
-	if httpReq.ContentLength == 0 {
-		return nil, false, nil
+// clientBody is the body of a request, or the first part of a body that is streamed.
+type clientBody struct {
+	first  []byte
+	more   bool                   // the rest has to be streamed
+	memory *membudget.Reservation // for the request with its body, or for streaming it; nil: none
+}
+
+// unreservedBody is the largest body that takes no memory besides that of its request, in bytes.
+const unreservedBody = 4 << 10
+
+// memoryWaitShare is the share of a request's time, as a divisor, in which its body may wait for memory.
+const memoryWaitShare = 4
+
+// errBodyDoesNotFit is the failure of a request whose body found no memory in time. Nothing of the request was executed.
+var errBodyDoesNotFit = &inputError{http.StatusServiceUnavailable, "no memory for the body"}
+
+// readBody reads the complete body if it has at most upstream.MaxBufferedBody bytes, and otherwise its first part. Nothing is
+// read until the body's memory is reserved. A body of unknown length that does not end within the first part is streamed too.
+func (f *frontend) readBody(w http.ResponseWriter, httpReq *http.Request, timeout time.Duration) (*clientBody, *inputError) {
+	length := httpReq.ContentLength
+	switch {
+	case length == 0:
+		return &clientBody{}, nil
+	case length > upstream.MaxStreamBytes:
+		return nil, bodyError(&http.MaxBytesError{Limit: upstream.MaxStreamBytes})
 	}
-	if httpReq.ContentLength > upstream.MaxStreamBytes {
-		return nil, false, bodyError(&http.MaxBytesError{Limit: upstream.MaxStreamBytes})
+	if client := clientConnOf(httpReq); client != nil && length > upstream.MaxBufferedBody {
+		upstream.LimitKernelBuffers(client.Conn)
 	}
-	if httpReq.ContentLength > upstream.MaxBufferedBody {
-		if c := clientConnOf(httpReq); c != nil {
-			upstream.LimitKernelBuffers(c.Conn)
-		}
+	memory, fits := f.reserveBody(httpReq, timeout)
+	if !fits {
+		return nil, errBodyDoesNotFit
 	}
 	bodyReader := &minThroughputReader{source: httpReq.Body, control: http.NewResponseController(w),
 		allowance: f.bodyTimeLeft(httpReq), maxGap: f.maxBodyGap}
-	body, err := io.ReadAll(io.LimitReader(bodyReader, upstream.MaxBufferedBody+1))
-	if more = len(body) > upstream.MaxBufferedBody; err == nil && !more { // an expired deadline looks like a disconnect
+	body, err := readFirstPart(bodyReader, length, memory)
+	if err == nil && !body.more { // an expired deadline looks like a disconnect
 		err = bodyReader.ClearDeadline()
 	}
 	if err != nil {
-		return nil, false, bodyError(err)
+		memory.Release()
+		return nil, bodyError(err)
+	}
+	return body, nil
+}
+
+// reserveBody reserves the memory for a body. While too little is left, the client waits for part of its request's time, but
+// not longer than for a small body. fits is false if the memory was not free in time.
+func (f *frontend) reserveBody(httpReq *http.Request, timeout time.Duration) (memory *membudget.Reservation, fits bool) {
+	class, bytes := membudget.Buffer, httpReq.ContentLength
+	switch {
+	case bytes > 0 && bytes <= unreservedBody:
+		return nil, true
+	case bytes < 0 || bytes > upstream.MaxBufferedBody:
+		class, bytes = membudget.Stream, upstream.UploadMemory
+	}
+	bytes += membudget.RequestMemory // of the same class, so that large requests leave memory for small ones
+	ctx, cancel := context.WithTimeout(httpReq.Context(), min(timeout/memoryWaitShare, f.bodyTimeLeft(httpReq)))
+	defer cancel()
+	memory = f.loop.pool.Memory.Reserve(ctx, class, bytes)
+	return memory, memory != nil
+}
+
+// readFirstPart reads a body of length bytes (below 0: unknown) completely, or its first part if it has to be streamed.
+func readFirstPart(source io.Reader, length int64, memory *membudget.Reservation) (*clientBody, error) {
+	if length >= 0 && length <= upstream.MaxBufferedBody {
+		complete := make([]byte, length)
+		_, err := io.ReadFull(source, complete)
+		return &clientBody{first: complete, memory: memory}, err
+	}
+	limit := int64(upstream.MinBufferedBody)
+	if memory.TryGrow(upstream.MaxBufferedBody) {
+		limit = upstream.MaxBufferedBody
 	}
-	return body, more, nil
+	first, err := io.ReadAll(io.LimitReader(source, limit+1))
+	return &clientBody{first: first, more: int64(len(first)) > limit, memory: memory}, err
 }
 
 func bodyError(err error) *inputError {
--- a/internal/agent/clientupload.go
+++ b/internal/agent/clientupload.go
@@ -27,6 +27,7 @@
 	<-readerDone
 	select {
 	case <-upload.Failed():
+		answer.response.Release()
 		failure := bodyError(upload.Err())
 		http.Error(w, failure.text, failure.status)
 	default:
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -12,6 +12,7 @@
 
 	"martenbeam/balancer"
 	"martenbeam/internal/agent/discovery"
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 	"martenbeam/internal/wire"
 )
@@ -99,15 +100,18 @@
 func (c *Config) halfLimits() *Config {
 	half := *c
 	half.MaxDescriptors = cmp.Or(c.MaxDescriptors, defaultDescriptors) / 2
-	half.MemoryMB = c.MemoryMB / 2
+	half.MemoryMB = (c.MemoryMB + 1) / 2 // never 0, which means no limit
 	return &half
 }
 
-// LimitMemory makes the garbage collector keep the process below three quarters of the memory limit, if it can. At the limit
-// itself the process would be killed.
+// memoryBytes returns the memory limit in bytes; 0: none.
+func (c *Config) memoryBytes() int64 { return int64(c.MemoryMB) << 20 }
+
+// LimitMemory makes the garbage collector keep the process well below the memory limit, if it can. At the limit itself the
+// process would be killed.
 func (c *Config) LimitMemory() {
 	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+		debug.SetMemoryLimit(membudget.HeapLimit(c.memoryBytes()))
 	}
 }
 
@@ -122,7 +126,7 @@
 
 // poolConfig returns the configuration of the pool of connections to backends.
 func (c *Config) poolConfig() upstream.Config {
-	return upstream.Config{MaxConns: maxUpstreamConns(c.shareableDescriptors()), MemoryMB: c.MemoryMB, DialFrom: c.DialFrom,
+	return upstream.Config{MaxConns: maxUpstreamConns(c.shareableDescriptors()), Memory: c.memoryBytes(), DialFrom: c.DialFrom,
 		ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Site.IdleClose, LoadInline: c.Site.LoadInline,
 		LoadProbed: c.Site.LoadProbed}
 }
--- a/internal/agent/descriptors.go
+++ b/internal/agent/descriptors.go
@@ -1,5 +1,7 @@
 package agent
 
+import "martenbeam/internal/agent/membudget"
+
 // The budget of file descriptors has a fixed part for the process's own files, discovery and peers, another for the admin
 // listener, and a part that clients and backends share. A client connection carries one request at a time, and a request
 // rarely has more than one attempt in flight, so clients and backends get equal shares. The remaining tenth of the shared
@@ -12,6 +14,18 @@
 	maxAdminConns        = 12   // concurrent admin calls, if there is an admin listener
 )
 
+// Bounds on a request's header, in bytes.
+const minHeader, maxHeader = 8 << 10, 32 << 10
+
+// headerShare is the part of the memory budget, as a divisor, that the headers of all client connections may take together.
+const headerShare = 4
+
+// maxHeader returns the longest header that a request may have, in bytes, so that the headers of all connections fit the memory.
+func (c *Config) maxHeader() int {
+	conns := int64(maxAcceptedConns(c.shareableDescriptors()))
+	return int(max(minHeader, min(maxHeader, membudget.Size(c.memoryBytes())/headerShare/conns)))
+}
+
 // sharedDescriptors returns how many of limit descriptors clients and backends share. A limit of 0 means defaultDescriptors.
 func sharedDescriptors(limit int) int {
 	if limit == 0 {
--- a/internal/agent/eventloop.go
+++ b/internal/agent/eventloop.go
@@ -44,6 +44,7 @@
 	lastStep         time.Duration    // start of the balancer's last step
 	probing          map[string]bool  // backends with a health check in flight; each has at most one
 	counts           counts
+	memoryRejections atomic.Int64 // requests that the frontend has rejected for want of memory since the last summary
 	lastCallID       int64
 }
 
@@ -219,7 +220,7 @@
 func (l *eventLoop) logSummary() {
 	l.log.Info("summary", "requests", l.counts.requests, "served", l.counts.served, "refused", l.counts.rejected,
 		"failed", l.counts.failed, "gone", l.counts.disconnected, "attempts", l.counts.attempts, "late", l.counts.overdue,
-		"cut", l.counts.truncated, "open", len(l.requests))
+		"cut", l.counts.truncated, "open", len(l.requests), "memory", l.memoryRejections.Swap(0))
 	l.counts = counts{}
 }
 
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -94,6 +94,8 @@
 	if e.outcome.Result == balancer.OK && !e.finished {
 		l.respond(e.request, reply{response: e.response})
 		l.counts.served++
+	} else if e.response != nil && e.response.Stream == nil {
+		e.response.Release() // no client gets it
 	}
 	e.outcome.Done = e.finished
 	if e.response != nil && e.response.Stream != nil && e.outcome.Result != balancer.OK {
--- a/internal/agent/frontend.go
+++ b/internal/agent/frontend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"martenbeam/internal/agent/clientconn"
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/residency/gate"
 )
 
@@ -46,7 +47,6 @@
 	headerTimeout = 2200 * time.Millisecond // for the next request's header; also the idle timeout
 	bodyTimeout   = 2700 * time.Millisecond // for a body, from the request's first byte on, with an allowance (minClientRate)
 	maxBodyGap    = 1200 * time.Millisecond // longest wait for the next byte of the body
-	maxHeader     = 32 << 10
 )
 
 func newFrontend(cfg *Config, l *eventLoop, log *slog.Logger) *frontend {
@@ -62,7 +62,7 @@
 		IdleTimeout:       headerTimeout,
 		// No ReadTimeout: it would expire while the handler waits for the reply and look like a disconnected client.
 		WriteTimeout:   2*cfg.maxDeadline() + headerTimeout,
-		MaxHeaderBytes: maxHeader,
+		MaxHeaderBytes: cfg.maxHeader(),
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState:      f.trackConn,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -120,8 +120,10 @@
 	switch state {
 	case http.StateNew:
 		f.connCount++
+		f.loop.pool.Memory.AddConn()
 	case http.StateClosed:
 		f.connCount--
+		f.loop.pool.Memory.RemoveConn()
 	}
 }
 
@@ -157,6 +159,7 @@
 	if r == nil {
 		return
 	}
+	defer func() { r.memory.Release() }()
 	client := clientConnOf(httpReq)
 	if client != nil && !f.idleConns.Claim(client) {
 		panic(http.ErrAbortHandler) // the connection has been closed as idle
@@ -166,13 +169,20 @@
 		f.writeReply(w, httpReq, reply{})
 		return
 	}
-	// A request over the limit is rejected before it is executed.
+	// A request over the limits is rejected before it is executed.
 	if f.openRequests.Add(1) > f.maxOpen.Load() {
 		f.openRequests.Add(-1)
 		f.reject(w, 0)
 		return
 	}
 	defer f.openRequests.Add(-1)
+	if r.memory == nil {
+		r.memory = f.loop.pool.Memory.TryReserve(membudget.Request, membudget.RequestMemory)
+	}
+	if r.memory == nil {
+		f.rejectForMemory(w)
+		return
+	}
 	if r.upstream.Upload == nil {
 		f.serveBuffered(w, httpReq, r, client)
 	} else {
@@ -201,7 +211,11 @@
 		// The end of this request may be ambiguous, so no further request is read from the connection.
 		w.Header().Set("Connection", "close")
 	}
-	if err != nil {
+	switch {
+	case err == errBodyDoesNotFit:
+		f.rejectForMemory(w)
+		return nil
+	case err != nil:
 		http.Error(w, err.text, err.status)
 		return nil
 	}
--- a/internal/agent/hotrestart.go
+++ b/internal/agent/hotrestart.go
@@ -99,6 +99,7 @@
 	}
 	p.pool.SetLimit(maxUpstreamConns(cfg.shareableDescriptors()))
 	p.frontend.setLimit(maxClientConns(cfg.shareableDescriptors()))
+	p.pool.Memory.SetMemory(cfg.memoryBytes())
 	cfg.LimitMemory()
 }
 
--- /dev/null
+++ b/internal/agent/membudget/budget.go
@@ -0,0 +1,237 @@
+// Package membudget bounds the memory that the clients of an agent can make it hold.
+//
+// A Budget is derived from the process's memory limit. Everything that grows with what clients and backends do is reserved
+// from it: connections, open requests, bodies and responses. Connections are always admitted, since descriptors bound them;
+// what carries the most bytes is refused first, so that small requests are served beside large ones:
+//
+//   - Stream: what a streamed body or response needs. Refused first.
+//   - Buffer: bodies and responses that are buffered completely.
+//   - Request: what a request without a large body needs. Refused last.
+//
+// A Budget counts; it allocates nothing. All methods may be called from any goroutine.
+package membudget
+
+import (
+	"context"
+	"math"
+	"sync"
+)
+
+// Class is the use of a reservation. It determines how much of the budget must stay free for the classes after it.
+type Class int
+
+// The classes, in the order in which they are refused as the budget is used up.
+const (
+	Stream Class = iota
+	Buffer
+	Request
+)
+
+// highWatermarks are the shares of the budget, in percent, up to which reservations of each class are granted.
+var highWatermarks = [...]int64{Stream: 70, Buffer: 80, Request: 100}
+
+const (
+	// ConnMemory is what an open connection to a client or a backend holds: two goroutines and their stacks, and the
+	// buffers of package http.
+	ConnMemory = 24 << 10
+	// RequestMemory is what an open request holds besides its connections and its body: the goroutines of its handler and
+	// its attempt, its header, and the smallest buffers for its response.
+	RequestMemory = 24 << 10
+
+	// baseMemory is what the process holds without clients.
+	baseMemory = 3 << 20
+	// The collector is told to stay below heapPercent of the memory limit; the rest is for the program's file and what the
+	// collector does not count. Reservations use at most livePercent of the heap, or collections would take too much
+	// processor time.
+	heapPercent, livePercent = 75, 80
+	// minRequests is the number of requests that are admitted however little memory is left.
+	minRequests = 32
+)
+
+// HeapLimit returns the number of bytes below which the garbage collector keeps a process with a memory limit in bytes.
+func HeapLimit(memory int64) int64 { return memory / 100 * heapPercent }
+
+// Size returns the size in bytes of the budget of a process with a memory limit in bytes; 0: no limit.
+func Size(memory int64) int64 {
+	if memory <= 0 {
+		return math.MaxInt64 / 100
+	}
+	return max(minRequests*(ConnMemory+RequestMemory), HeapLimit(memory)/100*livePercent-baseMemory)
+}
+
+// Budget is a number of bytes that reservations share.
+type Budget struct {
+	mu       sync.Mutex
+	size     int64
+	used     int64
+	requests int       // reservations of class Request
+	waiting  []*waiter // in the order of their calls
+}
+
+// waiter is a call of Reserve that waits.
+type waiter struct {
+	reservation *Reservation
+	granted     chan struct{} // closed once the reservation is counted
+}
+
+// New returns the budget of a process with a memory limit in bytes; 0: no limit.
+func New(memory int64) *Budget { return &Budget{size: Size(memory)} }
+
+// SetMemory changes the memory limit. Reservations that no longer fit stay valid until they are released.
+func (b *Budget) SetMemory(memory int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.size = Size(memory)
+	b.grantWaiting()
+}
+
+// Used returns the number of reserved bytes.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// AddConn counts a connection, whether it fits or not.
+func (b *Budget) AddConn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used += ConnMemory
+}
+
+// RemoveConn ends the count of a connection.
+func (b *Budget) RemoveConn() { b.free(ConnMemory, 0) }
+
+// IsLow reports whether no stream would be granted.
+func (b *Budget) IsLow() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.fits(Stream, 0)
+}
+
+// TryReserve reserves bytes, or returns nil if they do not fit or earlier calls wait for memory of the class.
+func (b *Budget) TryReserve(class Class, bytes int64) *Reservation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if class != Request && len(b.waiting) > 0 || !b.fits(class, bytes) {
+		return nil
+	}
+	r := &Reservation{budget: b, class: class}
+	b.grant(r, bytes)
+	return r
+}
+
+// Reserve reserves bytes, and waits until they fit, behind the calls that wait already. It returns nil once ctx is done.
+func (b *Budget) Reserve(ctx context.Context, class Class, bytes int64) *Reservation {
+	if r := b.TryReserve(class, bytes); r != nil {
+		return r
+	}
+	w := &waiter{&Reservation{budget: b, class: class, bytes: bytes}, make(chan struct{})}
+	b.mu.Lock()
+	b.waiting = append(b.waiting, w)
+	b.grantWaiting()
+	b.mu.Unlock()
+	select {
+	case <-w.granted:
+		return w.reservation
+	case <-ctx.Done():
+	}
+	if b.cancel(w) {
+		return nil
+	}
+	return w.reservation
+}
+
+// cancel removes a waiting call, and reports false if it has been granted.
+func (b *Budget) cancel(w *waiter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range b.waiting {
+		if other == w {
+			b.waiting = append(b.waiting[:i:i], b.waiting[i+1:]...)
+			b.grantWaiting() // it may have been the first
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether a reservation may be granted. The caller holds mu.
+func (b *Budget) fits(class Class, bytes int64) bool {
+	if class == Request && b.requests < minRequests {
+		return true
+	}
+	return b.used+bytes <= b.size/100*highWatermarks[class]
+}
+
+// grant counts a reservation of bytes. The caller holds mu.
+func (b *Budget) grant(r *Reservation, bytes int64) {
+	r.bytes = bytes
+	b.used += bytes
+	if r.class == Request {
+		b.requests++
+	}
+}
+
+// grantWaiting grants the calls that wait, in their order, until one does not fit. The caller holds mu.
+func (b *Budget) grantWaiting() {
+	for len(b.waiting) > 0 {
+		first := b.waiting[0]
+		if !b.fits(first.reservation.class, first.reservation.bytes) {
+			return
+		}
+		b.waiting = b.waiting[1:]
+		b.grant(first.reservation, first.reservation.bytes)
+		close(first.granted)
+	}
+}
+
+// free returns bytes and requests to the budget.
+func (b *Budget) free(bytes int64, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= bytes
+	b.requests -= requests
+	b.grantWaiting()
+}
+
+// Reservation is a part of a budget. A nil Reservation holds nothing.
+type Reservation struct {
+	budget *Budget
+	class  Class
+
+	mu       sync.Mutex
+	bytes    int64
+	released bool
+}
+
+// TryGrow adds bytes to the reservation, and reports whether they fitted.
+func (r *Reservation) TryGrow(bytes int64) bool {
+	more := r.budget.TryReserve(r.class, bytes)
+	if more == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bytes += bytes
+	return true
+}
+
+// Release returns the reservation to its budget. Calls after the first do nothing.
+func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	bytes, released := r.bytes, r.released
+	r.bytes, r.released = 0, true
+	r.mu.Unlock()
+	if released {
+		return
+	}
+	requests := 0
+	if r.class == Request {
+		requests = 1
+	}
+	r.budget.free(bytes, requests)
+}
--- /dev/null
+++ b/internal/agent/membudget/budget_test.go
@@ -0,0 +1,141 @@
+package membudget
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const mib = 1 << 20
+
+// reserveAll reserves memory of a class in parts until none is granted, and returns the reservations.
+func reserveAll(b *Budget, class Class, bytes int64) (all []*Reservation) {
+	for {
+		r := b.TryReserve(class, bytes)
+		if r == nil {
+			return all
+		}
+		all = append(all, r)
+	}
+}
+
+// What holds the most memory is refused first: streams leave memory for buffered bodies, and both leave memory for requests.
+func TestClassesAreRefusedInTheirOrder(t *testing.T) {
+	b := New(64 * mib)
+	for class := Stream; class <= Request; class++ {
+		granted := reserveAll(b, class, 10_000)
+		if len(granted) == 0 {
+			t.Errorf("class %d: nothing granted after the classes before it were refused", class)
+		}
+		if used, limit := b.Used(), Size(64*mib)/100*highWatermarks[class]; used > limit || used+10_000 <= limit {
+			t.Errorf("class %d: refused with %d bytes in use, want up to %d", class, used, limit)
+		}
+	}
+}
+
+// Some requests are admitted however much memory connections hold.
+func TestSomeRequestsAreAlwaysAdmitted(t *testing.T) {
+	b := New(32 * mib)
+	for range 2000 {
+		b.AddConn()
+	}
+	if n := len(reserveAll(b, Request, RequestMemory)); n != minRequests {
+		t.Errorf("%d requests admitted, want %d", n, minRequests)
+	}
+	if !b.IsLow() || b.TryReserve(Stream, 1) != nil {
+		t.Error("memory granted for a stream although connections hold all of it")
+	}
+}
+
+// A reservation waits behind earlier ones, also if it would fit, and until memory is released.
+func TestReservationsWaitInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(32 * mib)
+		held := reserveAll(b, Stream, mib)
+		order := make(chan int64, 2)
+		for _, bytes := range []int64{2 * mib, mib} {
+			go func() {
+				r := b.Reserve(t.Context(), Stream, bytes)
+				order <- r.bytes
+				r.Release()
+			}()
+			synctest.Wait()
+		}
+		held[0].Release()
+		if synctest.Wait(); len(order) != 0 {
+			t.Fatal("a reservation overtook an earlier one that did not fit")
+		}
+		held[1].Release()
+		if first, second := <-order, <-order; first != 2*mib || second != mib {
+			t.Errorf("granted %d, then %d bytes, want the earlier call first", first, second)
+		}
+	})
+}
+
+// A reservation that finds no memory in time is given up, and calls behind it are granted.
+func TestReservationIsGivenUpWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(32 * mib)
+		held := reserveAll(b, Stream, mib)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		behind := make(chan *Reservation, 1)
+		go func() {
+			time.Sleep(time.Millisecond)
+			behind <- b.Reserve(t.Context(), Stream, 0)
+		}()
+		startedAt := time.Now()
+		if r := b.Reserve(ctx, Stream, Size(32*mib)); r != nil || time.Since(startedAt) != time.Second {
+			t.Errorf("reservation %v after %v, want none after 1 s", r, time.Since(startedAt))
+		}
+		if r := <-behind; r == nil {
+			t.Error("the call behind was not granted")
+		}
+		for _, r := range held {
+			r.Release()
+		}
+	})
+}
+
+// Releasing twice, and releasing a reservation that has grown, leaves nothing counted.
+func TestReleaseLeavesNothingCounted(t *testing.T) {
+	b := New(64 * mib)
+	r := b.TryReserve(Buffer, 1000)
+	if !r.TryGrow(500) || b.Used() != 1500 {
+		t.Errorf("%d bytes in use after a growth, want 1500", b.Used())
+	}
+	request := b.TryReserve(Request, RequestMemory)
+	for range 2 {
+		r.Release()
+		request.Release()
+	}
+	(*Reservation)(nil).Release()
+	b.AddConn()
+	b.RemoveConn()
+	if b.Used() != 0 || b.requests != 0 {
+		t.Errorf("%d bytes and %d requests counted after all releases, want none", b.Used(), b.requests)
+	}
+}
+
+// For every limit that a configuration may state, the budget stays well below it. A lower limit refuses until memory is
+// released; without a limit everything fits.
+func TestSizeFollowsTheMemoryLimit(t *testing.T) {
+	for memory := int64(16); memory <= 192; memory++ {
+		if size := Size(memory * mib); size <= 0 || size+baseMemory > HeapLimit(memory*mib) {
+			t.Errorf("%d MiB: a budget of %d bytes, want more than 0, and less than the heap's limit %d", memory, size, HeapLimit(memory*mib))
+		}
+	}
+	b := New(64 * mib)
+	held := reserveAll(b, Buffer, mib)
+	b.SetMemory(32 * mib)
+	if b.TryReserve(Buffer, 1) != nil {
+		t.Error("memory granted although more than half is held and the limit was halved")
+	}
+	for _, r := range held {
+		r.Release()
+	}
+	if b.TryReserve(Buffer, mib) == nil || New(0).TryReserve(Stream, 1<<40) == nil {
+		t.Error("no memory granted after the release, or without a limit")
+	}
+}
--- a/internal/agent/openrequest.go
+++ b/internal/agent/openrequest.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 )
 
@@ -15,9 +16,10 @@
 	id            string
 	class         int
 	upstream      *upstream.Request
-	deadline      time.Time     // of the client, counted from the request's last byte that has arrived
-	timeout       time.Duration // from the request's last byte to the deadline
-	sizeHint      time.Duration // expected work, from X-Size-Hint; 0: unknown
+	memory        *membudget.Reservation // for the request with its body; nil: none yet
+	deadline      time.Time              // of the client, counted from the request's last byte that has arrived
+	timeout       time.Duration          // from the request's last byte to the deadline
+	sizeHint      time.Duration          // expected work, from X-Size-Hint; 0: unknown
 	clientRetry   bool
 	affinityKey   uint64        // hash of the session, for affinity; 0: none
 	residencyRule int           // 0: none
--- a/internal/agent/reply.go
+++ b/internal/agent/reply.go
@@ -17,6 +17,7 @@
 // writeReply writes the final reply. If it can't write the complete reply, net/http closes the connection before
 // Content-Length bytes are sent, so that the client detects the truncation.
 func (f *frontend) writeReply(w http.ResponseWriter, httpReq *http.Request, r reply) {
+	defer r.response.Release()
 	switch {
 	case r.response != nil && r.response.Stream != nil:
 		f.streamResponse(w, httpReq, r.response)
@@ -132,3 +133,13 @@
 	}
 	http.Error(w, "refused, try again", http.StatusServiceUnavailable)
 }
+
+// rejectForMemory rejects a request for which no memory is left. Its connection is closed, as its body may be unread.
+func (f *frontend) rejectForMemory(w http.ResponseWriter) {
+	f.loop.memoryRejections.Add(1)
+	w.Header().Set("Connection", "close")
+	f.reject(w, memoryRetryAfter)
+}
+
+// memoryRetryAfter is the time after which a client may send a request again for which no memory was left.
+const memoryRetryAfter = time.Second
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -15,8 +15,8 @@
 	"martenbeam/internal/wire"
 )
 
-// inputError is the reply to a request that can't be forwarded. Its status always means 'failed' and gives no permission to
-// retry.
+// inputError is the reply to a request that can't be forwarded. Except for errBodyDoesNotFit, its status always means 'failed'
+// and gives no permission to retry.
 type inputError struct {
 	status int
 	text   string
@@ -49,14 +49,15 @@
 	if failure != nil {
 		return nil, failure
 	}
-	body, more, failure := f.readBody(w, httpReq)
+	body, failure := f.readBody(w, httpReq, r.timeout)
 	if failure != nil {
 		return nil, failure
 	}
+	r.memory = body.memory
 	// A client's deadline counts from the last byte of its request.
 	r.deadline = f.replyDeadline(lastByteAt(httpReq), r.timeout)
-	r.upstream = newUpstreamRequest(httpReq, body)
-	if more {
+	r.upstream = newUpstreamRequest(httpReq, body.first)
+	if body.more {
 		r.upstream.Upload = upstream.NewUpload(httpReq.ContentLength)
 	}
 	return r, nil
--- a/internal/agent/upstream/buffers.go
+++ b/internal/agent/upstream/buffers.go
@@ -1,34 +1,24 @@
 package upstream
 
-// This file bounds the memory for streams, in the process and in the kernel.
+// This file allocates the buffers of streams within the memory budget, and bounds the kernel's buffers.
 
 import (
 	"net"
-	"sync/atomic"
-)
 
-// Buffers bounds the memory for stream buffers.
-type Buffers struct{ remaining atomic.Int64 }
+	"martenbeam/internal/agent/membudget"
+)
 
-// newBuffers returns a budget of an eighth of memoryMB; 0 means the default of 64 MB.
-func newBuffers(memoryMB int) *Buffers {
-	b := &Buffers{}
-	if memoryMB == 0 {
-		memoryMB = 64
-	}
-	b.remaining.Store(int64(memoryMB) << 20 / 8)
-	return b
-}
+// Buffers allocates the buffers of streams.
+type Buffers struct{ budget *membudget.Budget }
 
-// Get returns a buffer and the function that returns it to the budget. It never fails: once the budget is used up,
-// buffers have minBufferSize and are not counted.
+// Get returns a buffer and the function that returns its memory to the budget. It never fails: while the budget has no memory
+// for streamBufferSize, buffers have minBufferSize, which the reservation of the request includes.
 func (b *Buffers) Get() ([]byte, func()) {
-	size := int64(streamBufferSize)
-	if b.remaining.Add(-size) < 0 {
-		b.remaining.Add(size)
+	reservation := b.budget.TryReserve(membudget.Stream, streamBufferSize)
+	if reservation == nil {
 		return make([]byte, minBufferSize), func() {}
 	}
-	return make([]byte, size), func() { b.remaining.Add(size) }
+	return make([]byte, streamBufferSize), reservation.Release
 }
 
 // LimitKernelBuffers limits the kernel's send and receive buffers of a socket, which could otherwise hold megabytes of a
--- a/internal/agent/upstream/buffers_test.go
+++ b/internal/agent/upstream/buffers_test.go
@@ -1,12 +1,16 @@
 package upstream
 
-import "testing"
+import (
+	"testing"
+
+	"martenbeam/internal/agent/membudget"
+)
 
 // TestBufferSizeFollowsBudget: buffers beyond the budget are small, and a released buffer can be allocated again.
 func TestBufferSizeFollowsBudget(t *testing.T) {
-	buffers := newBuffers(1) // MB
+	buffers := &Buffers{membudget.New(32 << 20)}
 	var releases []func()
-	for range 1 << 20 / 8 / streamBufferSize {
+	for range membudget.Size(32<<20) / 100 * 70 / streamBufferSize {
 		buf, release := buffers.Get()
 		if len(buf) != streamBufferSize {
 			t.Fatalf("buffer of %d bytes within the budget, want %d", len(buf), streamBufferSize)
--- a/internal/agent/upstream/connections.go
+++ b/internal/agent/upstream/connections.go
@@ -36,7 +36,7 @@
 // discard closes a connection, subtracts it from openConns, and sets lastUnsolicited if unsolicited bytes arrived on
 // it. The caller holds mu; closing a socket does not block.
 func (p *Pool) discard(conn *pooledConn) {
-	p.openConns--
+	p.countConn(-1)
 	if conn.tracked.hasUnsolicited() {
 		p.lastUnsolicited = time.Now()
 	}
@@ -68,13 +68,25 @@
 		conn.idleFor = max(1, time.Since(conn.idleSince))
 		return conn, endpoint.Addr, nil
 	}
-	if p.openConns >= p.maxConns && !p.evictOldest() {
-		return nil, "", errConnLimit
+	if full := p.openConns >= p.maxConns; full || p.Memory.IsLow() {
+		if !p.evictOldest() && full {
+			return nil, "", errConnLimit
+		}
 	}
-	p.openConns++
+	p.countConn(1)
 	return nil, endpoint.Addr, nil
 }
 
+// countConn adds n, 1 or -1, to the open connections and to what they hold of the memory budget. The caller holds mu.
+func (p *Pool) countConn(n int) {
+	p.openConns += n
+	if n > 0 {
+		p.Memory.AddConn()
+	} else {
+		p.Memory.RemoveConn()
+	}
+}
+
 // pickIdle returns the index of the idle connection to use; below 0: none. It prefers the most recently used connection
 // among those that have been idle for settleTime. If there is none, it picks the most recently used connection, unless
 // unsolicited bytes were found within the last unsolicitedWindow. The caller holds mu.
@@ -173,7 +185,7 @@
 	clientConn, err := p.transport.NewClientConn(ctx, "http", addr)
 	if err != nil {
 		p.mu.Lock()
-		p.openConns--
+		p.countConn(-1)
 		p.mu.Unlock()
 		return nil, err
 	}
--- a/internal/agent/upstream/harness_test.go
+++ b/internal/agent/upstream/harness_test.go
@@ -17,7 +17,7 @@
 
 // testConfig returns a configuration with time limits long enough for a slow machine.
 func testConfig() Config {
-	return Config{MaxConns: 450, MemoryMB: 192, ConnectTimeout: 10 * time.Second, IdleClose: time.Minute, LoadInline: true}
+	return Config{MaxConns: 450, Memory: 192 << 20, ConnectTimeout: 10 * time.Second, IdleClose: time.Minute, LoadInline: true}
 }
 
 // ids numbers the ids that newID returns.
--- a/internal/agent/upstream/pool.go
+++ b/internal/agent/upstream/pool.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/residency/gate"
 )
 
@@ -39,7 +40,9 @@
 	transport   *http.Transport
 	idleTimeout time.Duration
 
-	// Buffers is the memory budget for streams. The pool and the frontend share it.
+	// Memory is the memory budget of the process. The pool and the frontend share it.
+	Memory *membudget.Budget
+	// Buffers allocates the buffers of streams within Memory.
 	Buffers *Buffers
 	// DialContext opens connections to backends. It may be replaced before the first attempt.
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -61,7 +64,7 @@
 // Config configures a Pool.
 type Config struct {
 	MaxConns       int           // connections that may be open at once
-	MemoryMB       int           // memory of the process, of which streams get an eighth; 0: 64
+	Memory         int64         // memory limit of the process in bytes; 0: none
 	DialFrom       string        // local IP address for connections; "": the system chooses
 	ConnectTimeout time.Duration // bounds the opening of a connection, and a complete health check
 	IdleClose      time.Duration // idle time after which backends may close a connection
@@ -75,7 +78,8 @@
 	if cfg.DialFrom != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.DialFrom)}
 	}
-	p := &Pool{cfg: cfg, log: log, Buffers: newBuffers(cfg.MemoryMB), maxConns: cfg.MaxConns, DialContext: dialer.DialContext,
+	memory := membudget.New(cfg.Memory)
+	p := &Pool{cfg: cfg, log: log, Memory: memory, Buffers: &Buffers{memory}, maxConns: cfg.MaxConns, DialContext: dialer.DialContext,
 		// Backends may close an idle connection after IdleClose. A request that is sent while the backend closes the
 		// connection ends as a reset, and may have been executed. The margin of a quarter of IdleClose is far longer
 		// than any network delay.
@@ -91,7 +95,7 @@
 			if err != nil {
 				return nil, err
 			}
-			conn := newTrackedConn(c)
+			conn := newTrackedConn(c, p.Buffers)
 			if slot, ok := ctx.Value(dialSlotKey{}).(*dialSlot); ok {
 				slot.conn = conn
 			}
--- a/internal/agent/upstream/response.go
+++ b/internal/agent/upstream/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"martenbeam/balancer"
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/wire"
 )
 
@@ -17,6 +18,16 @@
 	Header http.Header
 	Body   []byte
 	Stream *Stream // the rest of the body, after Body; nil: Body is complete
+
+	received int64                  // bytes of the body that were read, kept in Body or not
+	memory   *membudget.Reservation // for Body
+}
+
+// Release returns the memory of the response to the budget. It is called once nobody reads Body any more, on a nil Response too.
+func (r *Response) Release() {
+	if r != nil {
+		r.memory.Release()
+	}
 }
 
 // receive reads a response whose header has arrived, releases the connection and returns the attempt's result.
@@ -33,7 +44,8 @@
 	resp, err := p.readResponse(att, httpResp, done)
 	early := body != nil && httpResp.StatusCode == http.StatusOK &&
 		(!body.fullyRead.Load() || conn.tracked.respondedEarly()) // backends execute a request only after its last byte
-	if err != nil || early || endsWithConnection(httpResp) && len(resp.Body) == 0 {
+	if err != nil || early || endsWithConnection(httpResp) && resp.received == 0 {
+		resp.Release()
 		return p.failedResult(att, conn, body), nil, wire.ParseLoad(nil)
 	}
 	load := wire.ParseLoad(nil)
@@ -44,13 +56,15 @@
 		return p.awaitStream(att, conn, httpResp, resp), resp, load
 	}
 	httpResp.Body.Close()
-	complete := len(resp.Body) <= MaxBufferedBody
+	complete := resp.received <= MaxBufferedBody
 	conn.tracked.awaitIdle(!httpResp.Close && complete)
 	conn.idleSince = time.Now()
 	p.release(att.BackendID, conn, !httpResp.Close && complete)
 	switch {
 	case httpResp.StatusCode == http.StatusOK && complete:
 		return balancer.OK, resp, load
+	case httpResp.StatusCode == http.StatusOK:
+		resp.Release()
 	case provesNotExecuted(httpResp):
 		if att.NewConn { // the backend may have reached its connection limit: close an idle connection
 			p.mu.Lock()
@@ -71,39 +85,75 @@
 // readResponse reads a response to its end, or the first bytes of a streaming one. done ends the goroutine of a response
 // of unknown length.
 func (p *Pool) readResponse(att *Attempt, httpResp *http.Response, done <-chan struct{}) (*Response, error) {
-	resp := &Response{Header: httpResp.Header}
-	fitsBuffer := httpResp.ContentLength >= 0 && httpResp.ContentLength <= MaxBufferedBody
-	if fitsBuffer || httpResp.StatusCode != http.StatusOK || att.OnStreamStart == nil {
-		var err error
-		resp.Body, err = io.ReadAll(io.LimitReader(httpResp.Body, MaxBufferedBody+1))
-		return resp, err
+	resp, body := &Response{Header: httpResp.Header}, io.LimitReader(httpResp.Body, MaxBufferedBody+1)
+	var err error
+	switch {
+	case httpResp.StatusCode != http.StatusOK: // the client gets a reply of the agent
+		resp.received, err = io.Copy(io.Discard, body)
+	case att.OnStreamStart == nil:
+		resp.Body, err = io.ReadAll(body)
+		resp.received = int64(len(resp.Body))
+	case httpResp.ContentLength < 0:
+		err = p.readUnknownLength(att, httpResp, resp, done)
+	case p.reserveBuffer(resp, httpResp.ContentLength):
+		resp.Body = make([]byte, httpResp.ContentLength)
+		_, err = io.ReadFull(httpResp.Body, resp.Body)
+		resp.received = httpResp.ContentLength
+	case httpResp.ContentLength > MaxStreamBytes:
+		err = errTooLarge
+	default:
+		err = p.readFirstBytes(att, httpResp, resp)
+	}
+	return resp, err
+}
+
+// reserveBuffer reserves memory for a response of size bytes, and reports whether it is to be buffered. Otherwise it is
+// streamed, because it is large or little memory is left.
+func (p *Pool) reserveBuffer(resp *Response, size int64) bool {
+	if size <= minBufferSize {
+		return true
 	}
-	if httpResp.ContentLength > MaxStreamBytes {
-		return nil, errTooLarge
+	if size <= MaxBufferedBody {
+		resp.memory = p.Memory.TryReserve(membudget.Buffer, size)
+	}
+	return resp.memory != nil
+}
+
+// readUnknownLength reads a response that is delimited by chunks or by the end of its connection: to its end, or up to the size
+// from which it is streamed, which depends on the memory that is left.
+func (p *Pool) readUnknownLength(att *Attempt, httpResp *http.Response, resp *Response, done <-chan struct{}) error {
+	limit := minBufferSize
+	if p.reserveBuffer(resp, MaxBufferedBody) {
+		limit = MaxBufferedBody
 	}
 	buf, free := p.Buffers.Get()
-	stream := NewStream(httpResp.Body, httpResp.ContentLength, att.Cancel)
-	stream.free = free
-	if httpResp.ContentLength < 0 {
-		buffered := bufferResponse(httpResp.Body, buf, done)
-		body, more, err := buffered.readUpTo(MaxBufferedBody, bufferingTimeout)
-		if resp.Body = body; err == nil && more {
-			stream.source, resp.Stream = buffered, stream
-		} else {
-			free()
-		}
-		return resp, err
+	buffered := bufferResponse(httpResp.Body, buf, done)
+	body, more, err := buffered.readUpTo(limit, bufferingTimeout)
+	resp.Body, resp.received = body, int64(len(body))
+	if err != nil || !more {
+		free()
+		return err
 	}
+	resp.Stream = NewStream(buffered, httpResp.ContentLength, att.Cancel)
+	resp.Stream.free = free
+	return nil
+}
+
+// readFirstBytes reads the first bytes of a response of known length that is streamed.
+func (p *Pool) readFirstBytes(att *Attempt, httpResp *http.Response, resp *Response) error {
+	buf, free := p.Buffers.Get()
 	n, err := 0, error(nil)
 	for n == 0 && err == nil {
 		n, err = httpResp.Body.Read(buf)
 	}
 	if n == 0 {
 		free()
-		return nil, err
+		return err
 	}
-	resp.Body, resp.Stream = buf[:n], stream // a read error is returned again by the next read
-	return resp, nil
+	resp.Body, resp.received = buf[:n], int64(n)
+	resp.Stream = NewStream(httpResp.Body, httpResp.ContentLength, att.Cancel) // returns a read error again
+	resp.Stream.free = free
+	return nil
 }
 
 // awaitStream passes a streaming response to OnStreamStart, waits until the stream is finished or the event loop has
--- a/internal/agent/upstream/trackedconn.go
+++ b/internal/agent/upstream/trackedconn.go
@@ -19,7 +19,8 @@
 // after RoundTrip is called and before the request is written, net/http treats these bytes as the response.
 type trackedConn struct {
 	net.Conn
-	raw syscall.RawConn // nil: Conn is not a socket
+	raw     syscall.RawConn // nil: Conn is not a socket
+	buffers *Buffers
 
 	writeMu     sync.Mutex // held during the write system call
 	written     int        // bytes of the current request
@@ -40,8 +41,8 @@
 	earlyResponse    bool         // a byte of a final response arrived before the request's last byte was written
 }
 
-func newTrackedConn(conn net.Conn) *trackedConn {
-	tracked := &trackedConn{Conn: conn}
+func newTrackedConn(conn net.Conn, buffers *Buffers) *trackedConn {
+	tracked := &trackedConn{Conn: conn, buffers: buffers}
 	tracked.stateChanged.L = &tracked.mu
 	if s, ok := conn.(syscall.Conn); ok {
 		tracked.raw, _ = s.SyscallConn() // an error means that the connection is broken; the first use fails
@@ -88,6 +89,13 @@
 	return n, err
 }
 
+// ReadFrom writes the bytes of r through a buffer of the budget. net/http would otherwise allocate one of 32 KiB for each body.
+func (c *trackedConn) ReadFrom(r io.Reader) (int64, error) {
+	buffer, free := c.buffers.Get()
+	defer free()
+	return io.CopyBuffer(struct{ io.Writer }{c}, r, buffer) // without ReadFrom, which CopyBuffer would call
+}
+
 // beforeFirstByte is called before each write. Before the first write of a request it returns an error if the request must
 // not be written. Its last check is for bytes that have already arrived, which can't be a response to this request.
 func (c *trackedConn) beforeFirstByte() error {
