Close a silent connection with the read error that net/http leaves unanswered

TestSilentConnectionsAreClosedWhenIdle was flaky: net/http takes a read error that it does not know for a malformed request, and its 400 raced the close of the connection. The read now fails with a net.OpError of a read, for which net/http writes nothing.

--- a/internal/agent/clientconn/close.go
+++ b/internal/agent/clientconn/close.go
@@ -63,7 +63,8 @@
 // markClosing makes the server's further reads fail and cancels the connection's context. The caller holds mu.
 func (c *Conn) markClosing() {
 	c.closing = true
-	c.stopReading(net.ErrClosed)
+	// net/http answers a read error other than these with a status, which would race with the close.
+	c.stopReading(&net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed})
 	if c.deadlineTimer != nil {
 		c.deadlineTimer.Stop()
 	}
