Let buffered bodies wait for memory apart from streams

Cause: all calls that waited for memory stood in one queue, so a body of up to 64 KiB waited behind streams that did not fit, though the budget keeps memory for it, and was refused with them. Each class has a queue of its own now. TestBuffersDoNotWaitBehindStreams failed before.

--- a/internal/agent/membudget/budget.go
+++ b/internal/agent/membudget/budget.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 )
 
@@ -25,10 +26,11 @@
 	Stream Class = iota
 	Buffer
 	Request
+	classes // the number of classes
 )
 
 // highWatermarks are the shares of the budget, in percent, up to which reservations of each class are granted.
-var highWatermarks = [...]int64{Stream: 70, Buffer: 80, Request: 100}
+var highWatermarks = [classes]int64{Stream: 70, Buffer: 80, Request: 100}
 
 const (
 	// ConnMemory is what an open connection to a client or a backend holds: two goroutines and their stacks, and the
@@ -64,8 +66,8 @@
 	mu       sync.Mutex
 	size     int64
 	used     int64
-	requests int       // reservations of class Request
-	waiting  []*waiter // in the order of their calls
+	requests int                // reservations of class Request
+	waiting  [classes][]*waiter // by class, in the order of their calls
 }
 
 // waiter is a call of Reserve that waits.
@@ -113,7 +115,7 @@
 func (b *Budget) TryReserve(class Class, bytes int64) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if class != Request && len(b.waiting) > 0 || !b.fits(class, bytes) {
+	if len(b.waiting[class]) > 0 || !b.fits(class, bytes) {
 		return nil
 	}
 	r := &Reservation{budget: b, class: class}
@@ -121,14 +123,15 @@
 	return r
 }
 
-// Reserve reserves bytes, and waits until they fit, behind the calls that wait already. It returns nil once ctx is done.
+// Reserve reserves bytes, and waits until they fit, behind the calls of the class that wait already. It returns nil once ctx is
+// done.
 func (b *Budget) Reserve(ctx context.Context, class Class, bytes int64) *Reservation {
 	if r := b.TryReserve(class, bytes); r != nil {
 		return r
 	}
 	w := &waiter{&Reservation{budget: b, class: class, bytes: bytes}, make(chan struct{})}
 	b.mu.Lock()
-	b.waiting = append(b.waiting, w)
+	b.waiting[class] = append(b.waiting[class], w)
 	b.grantWaiting()
 	b.mu.Unlock()
 	select {
@@ -146,14 +149,14 @@
 func (b *Budget) cancel(w *waiter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, other := range b.waiting {
-		if other == w {
-			b.waiting = append(b.waiting[:i:i], b.waiting[i+1:]...)
-			b.grantWaiting() // it may have been the first
-			return true
-		}
+	class := w.reservation.class
+	i := slices.Index(b.waiting[class], w)
+	if i < 0 {
+		return false
 	}
-	return false
+	b.waiting[class] = slices.Delete(b.waiting[class], i, i+1)
+	b.grantWaiting() // it may have been the first
+	return true
 }
 
 // fits reports whether a reservation may be granted. The caller holds mu.
@@ -173,16 +176,19 @@
 	}
 }
 
-// grantWaiting grants the calls that wait, in their order, until one does not fit. The caller holds mu.
+// grantWaiting grants the calls that wait, the class that is refused last first. Of each class it grants calls in their order,
+// until one does not fit. The caller holds mu.
 func (b *Budget) grantWaiting() {
-	for len(b.waiting) > 0 {
-		first := b.waiting[0]
-		if !b.fits(first.reservation.class, first.reservation.bytes) {
-			return
+	for class := Request; class >= Stream; class-- {
+		for len(b.waiting[class]) > 0 {
+			first := b.waiting[class][0]
+			if !b.fits(class, first.reservation.bytes) {
+				break
+			}
+			b.waiting[class] = b.waiting[class][1:]
+			b.grant(first.reservation, first.reservation.bytes)
+			close(first.granted)
 		}
-		b.waiting = b.waiting[1:]
-		b.grant(first.reservation, first.reservation.bytes)
-		close(first.granted)
 	}
 }
 
--- a/internal/agent/membudget/budget_test.go
+++ b/internal/agent/membudget/budget_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+// A body that is buffered does not wait behind streams. Guards against ordinary requests that are refused beside large uploads.
+func TestBuffersDoNotWaitBehindStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(32 * mib)
+		held := reserveAll(b, Stream, mib)
+		granted := make(chan *Reservation, 1)
+		go func() { granted <- b.Reserve(t.Context(), Stream, mib) }()
+		synctest.Wait()
+		if b.TryReserve(Buffer, mib/2) == nil || len(granted) != 0 {
+			t.Errorf("buffer refused, or %d streams granted, while a stream waits; want the buffer alone granted", len(granted))
+		}
+		for _, r := range held {
+			r.Release()
+		}
+		if <-granted == nil {
+			t.Error("the stream was not granted after the release")
+		}
+	})
+}
+
 // A reservation that finds no memory in time is given up, and calls behind it are granted.
 func TestReservationIsGivenUpWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
