Read a client's socket and store the bytes in one step

Between the read loop's read and its storing of the bytes, neither the kernel nor the connection's buffer had them, so an idle close or an eviction in that moment closed a connection whose request had just been read: lost. The read and the storing are under the connection's lock now, as in upstream's connections; both use internal/rawconn, which is that code moved.

--- a/internal/agent/clientconn/bodyarrival.go
+++ b/internal/agent/clientconn/bodyarrival.go
@@ -23,7 +23,6 @@
 	arrival := BodyArrival{LatestByteAt: c.lastByteAt}
 	unread, known := tcpinfo.UnreadBytes(c.Conn)
 	if unread > 0 {
-		// The kernel's time since the latest byte may include time before the read loop's latest read.
 		if at := time.Now().Add(-tcpinfo.SinceLastData(c.Conn)); at.After(arrival.LatestByteAt) {
 			arrival.LatestByteAt = at
 		}
--- a/internal/agent/clientconn/conn.go
+++ b/internal/agent/clientconn/conn.go
@@ -4,7 +4,8 @@
 //
 // Ownership:
 //   - Only a connection's read loop (one goroutine per connection, counted in Listener.Readers) reads the socket. The
-//     loop ends when the socket is closed. net/http reads from the buffer that the loop fills.
+//     loop ends when the socket is closed. net/http reads from the buffer that the loop fills. The loop reads and fills the
+//     buffer under mu, so that bytes which have arrived are always either unread in the kernel or in the buffer.
 //   - Conn.mu guards Conn's buffer, framing and request counters. They are written by the read loop, by net/http's
 //     goroutine for the connection (Read, Write, Close) and by the request's handler (MarkRequestComplete,
 //     MarkResponseComplete).
@@ -21,7 +22,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"martenbeam/internal/rawconn"
 )
 
 // Conn is a client's connection as net/http uses it. Only its read loop reads the socket, ahead of the server: net/http
@@ -30,6 +34,7 @@
 // All methods may be called from any goroutine. Read, Write and Close are meant for net/http.
 type Conn struct {
 	net.Conn
+	raw        syscall.RawConn // nil: Conn is not a socket
 	acceptedAt time.Time
 	ctx        context.Context // cancelled once either side has closed the connection
 	cancelCtx  context.CancelFunc
@@ -83,7 +88,7 @@
 
 // New returns a connection over a socket. It does not start the read loop; Listener.Accept does.
 func New(socket net.Conn) *Conn {
-	c := &Conn{Conn: socket, acceptedAt: time.Now()}
+	c := &Conn{Conn: socket, raw: rawconn.Of(socket), acceptedAt: time.Now()}
 	c.ctx, c.cancelCtx = context.WithCancel(context.Background())
 	c.changed.L = &c.mu
 	return c
--- a/internal/agent/clientconn/conn_test.go
+++ b/internal/agent/clientconn/conn_test.go
@@ -61,7 +61,7 @@
 		if c.Conn = (&net.TCPConn{}); c.RequestInProgress() {
 			t.Error("request in progress before any byte has arrived")
 		}
-		c.store([]byte("G"), nil)
+		c.store([]byte("G"))
 		if !c.RequestInProgress() {
 			t.Error("no request in progress after a byte was read ahead")
 		}
@@ -72,7 +72,7 @@
 	})
 	t.Run("two complete requests read by the server", func(t *testing.T) {
 		c := New(&net.TCPConn{})
-		c.store([]byte("\r\n"+getRequest+getRequest), nil)
+		c.store([]byte("\r\n" + getRequest + getRequest))
 		if _, err := c.Read(make([]byte, 4096)); err != nil {
 			t.Fatal(err)
 		}
@@ -106,3 +106,26 @@
 	}
 	waitFor(t, "the unread byte to be detected", func() bool { return hasUnreadBytes(c) })
 }
+
+// Bytes that have arrived stay visible while the read loop takes them over from the kernel. Guards against a connection that is
+// closed as idle, unanswered, in the moment in which its request is read.
+func TestArrivedBytesStayVisible(t *testing.T) {
+	for range 300 {
+		client, server := connect(t)
+		c := New(server)
+		done := make(chan struct{})
+		go func() { defer close(done); c.readLoop() }()
+		go func() { _, _ = io.WriteString(client, "P") }()
+		for !c.RequestInProgress() {
+		}
+		for range 200 { // the read loop takes the byte over meanwhile
+			if !c.RequestInProgress() {
+				t.Error("a byte that had arrived was not visible")
+				break
+			}
+		}
+		c.Close()
+		client.Close()
+		<-done
+	}
+}
--- a/internal/agent/clientconn/read.go
+++ b/internal/agent/clientconn/read.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"martenbeam/internal/rawconn"
 	"martenbeam/internal/tcpinfo"
 )
 
@@ -25,29 +26,48 @@
 	buffer := make([]byte, readBufferSize)
 	var retry ioRetry
 	for {
-		n, err := c.Conn.Read(buffer)
+		n, err := c.readSocket(buffer)
 		if n == 0 && retry.shouldRetry(err) {
 			continue
 		}
-		if !c.store(buffer[:n], err) {
+		if !c.awaitSpace(err) {
 			return
 		}
 	}
 }
 
-// store buffers what one read returned, and waits until the buffer has space for another read. It reports false after
-// the last read.
-func (c *Conn) store(p []byte, err error) bool {
+// readSocket waits for bytes and stores them.
+func (c *Conn) readSocket(buffer []byte) (n int, err error) {
+	if c.raw != nil {
+		return rawconn.Read(c.raw, buffer, &c.mu, func(n int) { c.store(buffer[:n]) })
+	}
+	n, err = c.Conn.Read(buffer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(p) > 0 && !c.closing && !c.overflowed {
-		c.overflowed = c.responsePending && len(c.readAhead)+len(p) > maxReadAhead
-		if !c.overflowed {
-			c.readAhead = append(c.readAhead, p...)
-			c.lastByteAt = time.Now().Add(-c.queuedBeforeAccept())
-			c.markRequestStart()
-		}
+	c.store(buffer[:n])
+	return n, err
+}
+
+// store buffers what one read returned. The caller holds mu.
+func (c *Conn) store(p []byte) {
+	if len(p) == 0 || c.closing || c.overflowed {
+		return
+	}
+	if c.responsePending && len(c.readAhead)+len(p) > maxReadAhead {
+		c.overflowed = true
+		return
 	}
+	c.readAhead = append(c.readAhead, p...)
+	c.lastByteAt = time.Now().Add(-c.queuedBeforeAccept())
+	c.markRequestStart()
+	c.changed.Broadcast()
+}
+
+// awaitSpace waits until the buffer has space for another read after a read that returned err. It reports false after the last
+// read.
+func (c *Conn) awaitSpace(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
 		c.readDone = true
 		c.stopReading(err)
--- a/internal/agent/upstream/trackedconn.go
+++ b/internal/agent/upstream/trackedconn.go
@@ -3,12 +3,13 @@
 // This file tracks which bytes of each request and response passed on a connection to a backend.
 
 import (
-	"errors"
 	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"martenbeam/internal/rawconn"
 )
 
 // trackedConn is a connection to a backend below net/http's client. For each request it determines with certainty whether
@@ -42,11 +43,8 @@
 }
 
 func newTrackedConn(conn net.Conn, buffers *Buffers) *trackedConn {
-	tracked := &trackedConn{Conn: conn, buffers: buffers}
+	tracked := &trackedConn{Conn: conn, raw: rawconn.Of(conn), buffers: buffers}
 	tracked.stateChanged.L = &tracked.mu
-	if s, ok := conn.(syscall.Conn); ok {
-		tracked.raw, _ = s.SyscallConn() // an error means that the connection is broken; the first use fails
-	}
 	return tracked
 }
 
@@ -198,28 +196,10 @@
 		c.mu.Unlock()
 		return n, err
 	}
-	waitErr := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for n, err = syscall.Read(int(fd), p); errors.Is(err, syscall.EINTR); {
-			n, err = syscall.Read(int(fd), p)
-		}
-		if errors.Is(err, syscall.EAGAIN) {
-			return false
-		}
+	return rawconn.Read(c.raw, p, &c.mu, func(n int) {
 		c.unsolicited = c.unsolicited || n > 0 && !c.requestStarted
 		c.responseReceived = c.responseReceived || n > 0 && isFinalResponse(p[:n])
-		return true
 	})
-	switch {
-	case waitErr != nil:
-		return 0, waitErr
-	case err != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
-	case n == 0:
-		return 0, io.EOF
-	}
-	return n, nil
 }
 
 // Close closes the connection and unblocks awaitIdle.
