Return the memory of responses that are not passed on

A response that came before the request's last byte, or after its deadline or its answer, kept 64 KiB of the memory budget for good (since the budget counts responses; a stream's buffer before that too), so an agent would have refused more and more. All such responses return their memory. Each agent of the package's tests is now checked to end with nothing reserved.

--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -79,6 +79,7 @@
 
 func (e responseStarted) applyTo(l *eventLoop) {
 	if e.finished {
+		e.response.Release()
 		e.response.Stream.Finish(upstream.ErrRequestEnded)
 		return
 	}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -133,6 +133,7 @@
 		case <-time.After(2 * testTimeout):
 			t.Error("the agent did not stop within twice testTimeout")
 		}
+		eventually(t, "all reserved memory to be released", func() bool { return a.pool.Memory.Used() == 0 })
 	})
 	return r
 }
--- /dev/null
+++ b/internal/agent/upstream/memory_test.go
@@ -0,0 +1,62 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"martenbeam/balancer"
+)
+
+// A response that is not passed on returns its memory: it came before the request's last byte, or after the request had its
+// answer. Guards against a budget that shrinks with each such response until everything is refused.
+func TestResponseThatIsNotPassedOnReturnsItsMemory(t *testing.T) {
+	text := pattern(3 * MaxBufferedBody)
+	for framing, response := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text),
+		"close":  "\r\n" + text,
+	} {
+		for _, early := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, early: %v", framing, early), func(t *testing.T) {
+				ln := listen(t)
+				go func() {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+response) // fails once the attempt has ended
+					_, _ = io.Copy(io.Discard, conn)
+				}()
+				pool := poolWithBackend(t, ln.Addr().String())
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				req, err := http.NewRequest(http.MethodPost, "/put/x", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				request := &Request{Method: http.MethodPost, URL: req.URL, Header: http.Header{}, Body: []byte("first part")}
+				if early {
+					request.Upload = NewUpload(200_000) // its rest never arrives
+				}
+				att := &Attempt{Cancel: cancel, BackendID: "s", Start: time.Now(), Request: request,
+					OnStreamStart: func(*Response, time.Duration) bool { return false }}
+				if result, _, _ := pool.Execute(ctx, att); result == balancer.OK {
+					t.Errorf("result %v, want a failure", result)
+				}
+				if early {
+					request.Upload.Stop(ErrRequestEnded) // ends the write that waits for the rest of the body
+				}
+				eventually(t, "all memory of the attempt to be returned", func() bool { return pool.Memory.Used() == 0 })
+			})
+		}
+	}
+}
--- a/internal/agent/upstream/response.go
+++ b/internal/agent/upstream/response.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// discard returns all memory of a response that is not passed on, its stream's included.
+func (r *Response) discard() {
+	r.Release()
+	if r.Stream != nil {
+		r.Stream.free()
+	}
+}
+
 // receive reads a response whose header has arrived, releases the connection and returns the attempt's result.
 func (p *Pool) receive(att *Attempt, conn *pooledConn, body *requestBody,
 	httpResp *http.Response) (balancer.Result, *Response, balancer.Load) {
@@ -45,7 +53,7 @@
 	early := body != nil && httpResp.StatusCode == http.StatusOK &&
 		(!body.fullyRead.Load() || conn.tracked.respondedEarly()) // backends execute a request only after its last byte
 	if err != nil || early || endsWithConnection(httpResp) && resp.received == 0 {
-		resp.Release()
+		resp.discard()
 		return p.failedResult(att, conn, body), nil, wire.ParseLoad(nil)
 	}
 	load := wire.ParseLoad(nil)
@@ -163,6 +171,7 @@
 	att.Latency = att.Elapsed()
 	LimitKernelBuffers(conn.tracked.Conn)
 	if !att.OnStreamStart(resp, att.Latency) {
+		resp.Release()
 		return p.failedResult(att, conn, nil)
 	}
 	select {
