--- a/internal/agent/clientbody.go
+++ b/internal/agent/clientbody.go
@@ -55,6 +55,7 @@
 	first  []byte
 	more   bool                   // the rest has to be streamed
 	memory *membudget.Reservation // for the request with its body, or for streaming it; nil: none
+	waited time.Duration          // for memory, while bytes arrived unread
 }
 
 // unreservedBody is the largest body that takes no memory besides that of its request, in bytes.
@@ -76,13 +77,15 @@
 	case length > upstream.MaxStreamBytes:
 		return nil, bodyError(&http.MaxBytesError{Limit: upstream.MaxStreamBytes})
 	}
-	if client := clientConnOf(httpReq); client != nil && length > upstream.MaxBufferedBody {
+	if client := clientConnOf(httpReq); client != nil && (length < 0 || length > upstream.MaxBufferedBody) {
 		upstream.LimitKernelBuffers(client.Conn)
 	}
+	waitStart := time.Now()
 	memory, fits := f.reserveBody(httpReq, timeout)
 	if !fits {
 		return nil, errBodyDoesNotFit
 	}
+	waited := time.Since(waitStart)
 	bodyReader := &minThroughputReader{source: httpReq.Body, control: http.NewResponseController(w),
 		allowance: f.bodyTimeLeft(httpReq), maxGap: f.maxBodyGap}
 	body, err := readFirstPart(bodyReader, length, memory)
@@ -93,6 +96,7 @@
 		memory.Release()
 		return nil, bodyError(err)
 	}
+	body.waited = waited
 	return body, nil
 }
 
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -54,6 +54,7 @@
 		return nil, failure
 	}
 	r.memory = body.memory
+	r.timeout -= body.waited // the last byte may have arrived as early as the wait began
 	// A client's deadline counts from the last byte of its request.
 	r.deadline = f.replyDeadline(lastByteAt(httpReq), r.timeout)
 	r.upstream = newUpstreamRequest(httpReq, body.first)
--- a/internal/agent/upload_test.go
+++ b/internal/agent/upload_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 )
 
@@ -226,3 +227,44 @@
 		close(f.loop.stopped)
 	})
 }
+
+// TestWaitForMemoryDoesNotMoveTheDeadline: a body that arrives while the agent has no memory for it is read late, and its request's
+// deadline still counts from the arrival of the last byte. Guards against an answer that is late by the wait.
+func TestWaitForMemoryDoesNotMoveTheDeadline(t *testing.T) {
+	const timeout, wait, grace = 8 * time.Second, 1500 * time.Millisecond, 500 * time.Millisecond
+	for name, bodySize := range map[string]int{"buffered": 20_000, "streamed": 2 * upstream.MaxBufferedBody} {
+		t.Run(name, func(t *testing.T) {
+			f, dial, posts := startSocketFrontend(t)
+			held := holdMemory(f.loop.pool.Memory)
+			c := dial()
+			writeText(t, c, postHeader("/pay/x", fmt.Sprintf("X-Expires-In: %d\r\nContent-Length: %d\r\n", int(timeout.Seconds()), bodySize))+pattern(bodySize))
+			sentAt := time.Now()
+			time.AfterFunc(wait, func() {
+				for _, r := range held {
+					r.Release()
+				}
+			})
+			r := nextEvent[requestArrived](t, posts)
+			if arrivedAfter := time.Since(sentAt); arrivedAfter < wait {
+				t.Errorf("request posted %v after its last byte, want at least the wait for memory", arrivedAfter)
+			}
+			if late := r.deadline.Sub(sentAt.Add(timeout)); late > grace {
+				t.Errorf("deadline %v after the last byte's arrival and the request's time", late)
+			}
+			r.reply <- reply{}
+			c.Close()
+			eventually(t, "the connection to end", f.noConnections)
+		})
+	}
+}
+
+// holdMemory reserves all memory that bodies may have.
+func holdMemory(memory *membudget.Budget) (held []*membudget.Reservation) {
+	const part = 100_000
+	for _, class := range []membudget.Class{membudget.Stream, membudget.Buffer} {
+		for r := memory.TryReserve(class, part); r != nil; r = memory.TryReserve(class, part) {
+			held = append(held, r)
+		}
+	}
+	return held
+}
