--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -82,7 +82,8 @@
 		if r.Rules.History != nil {
 			lab.WriteHistory(&history, r.Rules.History)
 		}
-		t.Errorf("%s: verdict %s, want a passed run: %+v %s\n%s", Faults(s), r.Verdict, r.Rules.First, r.Crash, history.String())
+		t.Errorf("%s: verdict %s, want a passed run: %+v %s (lab late by %.1f ms at p99, %.1f ms allowed)\n%s", Faults(s), r.Verdict,
+			r.Rules.First, r.Crash, r.LabLateness.P99, s.Limits.MaxLabLatenessMs, history.String())
 		logs, _ := filepath.Glob(filepath.Join(dir, "n*", "log"))
 		for _, name := range logs {
 			text, _ := os.ReadFile(name)
