Admit small bodies beside streams, and leave an upgrade's other process its base

Cause: a connection to a backend was counted both by itself and in its request, so that connections alone used the share of buffered bodies; and the budget of each process left room for one process's base, while its successor runs with one of its own and with a collector that lets garbage grow to four times the live heap.

Change: the classes are Spare, Stream, Buffer and Request, with watermarks of 60, 70, 85 and 100 percent, and a few reservations of each of the last three are admitted however little is left. The pool counts idle connections only, and a request's reservation contains its backend's connection. The budget is 70 percent of the heap's limit less two bases. While two processes share the limits, each collects at 100 percent of garbage in place of 400.

--- a/internal/agent/clientupload.go
+++ b/internal/agent/clientupload.go
@@ -54,7 +54,8 @@
 	upload, wait := r.upstream.Upload, uploadWait{frontend: f, request: r, httpReq: httpReq}
 	arrivalCheck := time.NewTicker(arrivalCheckInterval)
 	defer arrivalCheck.Stop()
-	overdueTimer := time.NewTimer(neverOverdue)
+	overdueTimer := time.NewTimer(0)
+	overdueTimer.Stop() // until there is a deadline
 	defer overdueTimer.Stop()
 	disconnected, failed, stalled := httpReq.Context().Done(), upload.Failed(), upload.Stalled()
 	completed, drainStarted := upload.Completed(), f.drainStarted
@@ -89,9 +90,6 @@
 	}
 }
 
-// neverOverdue is longer than any upload takes.
-const neverOverdue = 24 * time.Hour
-
 // uploadWait is the state of awaitUploadReply.
 type uploadWait struct {
 	frontend *frontend
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -107,9 +107,14 @@
 // memoryBytes returns the memory limit in bytes; 0: none.
 func (c *Config) memoryBytes() int64 { return int64(c.MemoryMB) << 20 }
 
-// LimitMemory makes the garbage collector keep the process well below the memory limit, if it can. At the limit itself the
-// process would be killed.
-func (c *Config) LimitMemory() {
+// Garbage that the collector leaves, in percent of what is in use. A small heap is collected rarely, while it is well below the
+// memory limit; two processes that share the limit leave less.
+const collectRarely, collectOften = 400, 100
+
+// LimitMemory makes the garbage collector keep the process well below the memory limit, if it can, and leave garbagePercent of
+// garbage until then. At the limit itself the process would be killed.
+func (c *Config) LimitMemory(garbagePercent int) {
+	debug.SetGCPercent(garbagePercent)
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(membudget.HeapLimit(c.memoryBytes()))
 	}
--- a/internal/agent/frontend.go
+++ b/internal/agent/frontend.go
@@ -120,10 +120,10 @@
 	switch state {
 	case http.StateNew:
 		f.connCount++
-		f.loop.pool.Memory.AddConn()
+		f.loop.pool.Memory.Add(membudget.ConnMemory)
 	case http.StateClosed:
 		f.connCount--
-		f.loop.pool.Memory.RemoveConn()
+		f.loop.pool.Memory.Remove(membudget.ConnMemory)
 	}
 }
 
--- a/internal/agent/hotrestart.go
+++ b/internal/agent/hotrestart.go
@@ -93,14 +93,14 @@
 
 // HalveLimits implements hotrestart.Process. The pool closes idle connections to backends beyond the limits.
 func (p restartedProcess) HalveLimits(on bool) {
-	cfg := p.cfg
+	cfg, garbagePercent := p.cfg, collectRarely
 	if on {
-		cfg = cfg.halfLimits()
+		cfg, garbagePercent = cfg.halfLimits(), collectOften
 	}
 	p.pool.SetLimit(maxUpstreamConns(cfg.shareableDescriptors()))
 	p.frontend.setLimit(maxClientConns(cfg.shareableDescriptors()))
 	p.pool.Memory.SetMemory(cfg.memoryBytes())
-	cfg.LimitMemory()
+	cfg.LimitMemory(garbagePercent)
 }
 
 // ApplyOverride implements hotrestart.Process.
--- a/internal/agent/membudget/budget.go
+++ b/internal/agent/membudget/budget.go
@@ -4,9 +4,12 @@
 // from it: connections, open requests, bodies and responses. Connections are always admitted, since descriptors bound them;
 // what carries the most bytes is refused first, so that small requests are served beside large ones:
 //
-//   - Stream: what a streamed body or response needs. Refused first.
-//   - Buffer: bodies and responses that are buffered completely.
-//   - Request: what a request without a large body needs. Refused last.
+//   - Spare: larger buffers, and buffering in place of streaming. Refused first; a request is served without it.
+//   - Stream: what a request with a streamed body needs.
+//   - Buffer: what a request with a buffered body needs.
+//   - Request: what a request with a small body, or none, needs. Refused last.
+//
+// Some requests of each class are admitted however little is left, so that none waits for the end of another class.
 //
 // A Budget counts; it allocates nothing. All methods may be called from any goroutine.
 package membudget
@@ -23,31 +26,36 @@
 
 // The classes, in the order in which they are refused as the budget is used up.
 const (
-	Stream Class = iota
+	Spare Class = iota
+	Stream
 	Buffer
 	Request
 	classes // the number of classes
 )
 
 // highWatermarks are the shares of the budget, in percent, up to which reservations of each class are granted.
-var highWatermarks = [classes]int64{Stream: 70, Buffer: 80, Request: 100}
+var highWatermarks = [classes]int64{Spare: 60, Stream: 70, Buffer: 85, Request: 100}
+
+// minAdmitted are the numbers of reservations of each class that are granted however little memory is left.
+var minAdmitted = [classes]int{Stream: 8, Buffer: 8, Request: 32}
 
 const (
-	// ConnMemory is what an open connection to a client or a backend holds: two goroutines and their stacks, and the
-	// buffers of package http.
+	// ConnMemory is what an open connection of a client holds: two goroutines with their stacks, and the buffers of
+	// package http.
 	ConnMemory = 24 << 10
-	// RequestMemory is what an open request holds besides its connections and its body: the goroutines of its handler and
-	// its attempt, its header, and the smallest buffers for its response.
+	// IdleConnMemory is what an idle connection to a backend holds.
+	IdleConnMemory = 12 << 10
+	// RequestMemory is what an open request holds besides its client's connection and its body: the goroutines of its handler
+	// and its attempt, the connection to its backend, its header, and the smallest buffers for its response.
 	RequestMemory = 24 << 10
 
-	// baseMemory is what the process holds without clients.
+	// baseMemory is what the process holds without clients. A process leaves as much for a successor, whose connections
+	// to clients come before its own have ended.
 	baseMemory = 3 << 20
 	// The collector is told to stay below heapPercent of the memory limit; the rest is for the program's file and what the
 	// collector does not count. Reservations use at most livePercent of the heap, or collections would take too much
 	// processor time.
-	heapPercent, livePercent = 75, 80
-	// minRequests is the number of requests that are admitted however little memory is left.
-	minRequests = 32
+	heapPercent, livePercent = 75, 70
 )
 
 // HeapLimit returns the number of bytes below which the garbage collector keeps a process with a memory limit in bytes.
@@ -58,7 +66,7 @@
 	if memory <= 0 {
 		return math.MaxInt64 / 100
 	}
-	return max(minRequests*(ConnMemory+RequestMemory), HeapLimit(memory)/100*livePercent-baseMemory)
+	return max(0, HeapLimit(memory)/100*livePercent-2*baseMemory)
 }
 
 // Budget is a number of bytes that reservations share.
@@ -66,7 +74,7 @@
 	mu       sync.Mutex
 	size     int64
 	used     int64
-	requests int                // reservations of class Request
+	admitted [classes]int       // reservations by class
 	waiting  [classes][]*waiter // by class, in the order of their calls
 }
 
@@ -94,21 +102,26 @@
 	return b.used
 }
 
-// AddConn counts a connection, whether it fits or not.
-func (b *Budget) AddConn() {
+// Add counts bytes that are held whether they fit or not.
+func (b *Budget) Add(bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used += ConnMemory
+	b.used += bytes
 }
 
-// RemoveConn ends the count of a connection.
-func (b *Budget) RemoveConn() { b.free(ConnMemory, 0) }
+// Remove ends the count of bytes that were added.
+func (b *Budget) Remove(bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= bytes
+	b.grantWaiting()
+}
 
-// IsLow reports whether no stream would be granted.
+// IsLow reports whether no memory is to spare.
 func (b *Budget) IsLow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.fits(Stream, 0)
+	return !b.fits(Spare, 0)
 }
 
 // TryReserve reserves bytes, or returns nil if they do not fit or earlier calls wait for memory of the class.
@@ -161,7 +174,7 @@
 
 // fits reports whether a reservation may be granted. The caller holds mu.
 func (b *Budget) fits(class Class, bytes int64) bool {
-	if class == Request && b.requests < minRequests {
+	if b.admitted[class] < minAdmitted[class] {
 		return true
 	}
 	return b.used+bytes <= b.size/100*highWatermarks[class]
@@ -171,15 +184,13 @@
 func (b *Budget) grant(r *Reservation, bytes int64) {
 	r.bytes = bytes
 	b.used += bytes
-	if r.class == Request {
-		b.requests++
-	}
+	b.admitted[r.class]++
 }
 
 // grantWaiting grants the calls that wait, the class that is refused last first. Of each class it grants calls in their order,
 // until one does not fit. The caller holds mu.
 func (b *Budget) grantWaiting() {
-	for class := Request; class >= Stream; class-- {
+	for class := Request; class >= Spare; class-- {
 		for len(b.waiting[class]) > 0 {
 			first := b.waiting[class][0]
 			if !b.fits(class, first.reservation.bytes) {
@@ -192,34 +203,23 @@
 	}
 }
 
-// free returns bytes and requests to the budget.
-func (b *Budget) free(bytes int64, requests int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= bytes
-	b.requests -= requests
-	b.grantWaiting()
-}
-
-// Reservation is a part of a budget. A nil Reservation holds nothing.
+// Reservation is a part of a budget. A nil Reservation holds nothing. The budget's mu guards its fields but budget and class.
 type Reservation struct {
-	budget *Budget
-	class  Class
-
-	mu       sync.Mutex
+	budget   *Budget
+	class    Class
 	bytes    int64
 	released bool
 }
 
-// TryGrow adds bytes to the reservation, and reports whether they fitted.
+// TryGrow adds spare memory to the reservation, and reports whether there was enough.
 func (r *Reservation) TryGrow(bytes int64) bool {
-	more := r.budget.TryReserve(r.class, bytes)
-	if more == nil {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if !r.budget.fits(Spare, bytes) {
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.bytes += bytes
+	r.budget.used += bytes
 	return true
 }
 
@@ -228,16 +228,13 @@
 	if r == nil {
 		return
 	}
-	r.mu.Lock()
-	bytes, released := r.bytes, r.released
-	r.bytes, r.released = 0, true
-	r.mu.Unlock()
-	if released {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if r.released {
 		return
 	}
-	requests := 0
-	if r.class == Request {
-		requests = 1
-	}
-	r.budget.free(bytes, requests)
+	r.released = true
+	r.budget.used -= r.bytes
+	r.budget.admitted[r.class]--
+	r.budget.grantWaiting()
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -34,9 +33,7 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	}
-	// The heap is small: collect rarely, but well before the process reaches the memory limit, at which it would be killed.
-	debug.SetGCPercent(400)
-	cfg.LimitMemory()
+	cfg.LimitMemory(collectRarely)
 	a, err := New(stop, cfg, log.With("agent", cfg.Name))
 	if err != nil {
 		return err
--- a/internal/agent/upstream/buffers.go
+++ b/internal/agent/upstream/buffers.go
@@ -14,7 +14,7 @@
 // Get returns a buffer and the function that returns its memory to the budget. It never fails: while the budget has no memory
 // for streamBufferSize, buffers have minBufferSize, which the reservation of the request includes.
 func (b *Buffers) Get() ([]byte, func()) {
-	reservation := b.budget.TryReserve(membudget.Stream, streamBufferSize)
+	reservation := b.budget.TryReserve(membudget.Spare, streamBufferSize)
 	if reservation == nil {
 		return make([]byte, minBufferSize), func() {}
 	}
--- a/internal/agent/upstream/connections.go
+++ b/internal/agent/upstream/connections.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"martenbeam/internal/agent/membudget"
 )
 
 // pooledConn is one connection to a backend. It carries one request at a time.
@@ -16,6 +18,18 @@
 	addr      string
 	idleSince time.Time     // when the connection last became idle
 	idleFor   time.Duration // idle time before the current use; 0: the connection is new
+	counted   bool          // as idle in the memory budget; a connection in use belongs to its request's reservation
+}
+
+// countIdle adds an idle connection to the memory budget, or removes it once it is used or closed.
+func (p *Pool) countIdle(conn *pooledConn, idle bool) {
+	switch {
+	case idle && !conn.counted:
+		p.Memory.Add(membudget.IdleConnMemory)
+	case !idle && conn.counted:
+		p.Memory.Remove(membudget.IdleConnMemory)
+	}
+	conn.counted = idle
 }
 
 type (
@@ -36,7 +50,8 @@
 // discard closes a connection, subtracts it from openConns, and sets lastUnsolicited if unsolicited bytes arrived on
 // it. The caller holds mu; closing a socket does not block.
 func (p *Pool) discard(conn *pooledConn) {
-	p.countConn(-1)
+	p.openConns--
+	p.countIdle(conn, false)
 	if conn.tracked.hasUnsolicited() {
 		p.lastUnsolicited = time.Now()
 	}
@@ -66,6 +81,7 @@
 		conn := p.idle[id][i]
 		p.idle[id] = slices.Delete(p.idle[id], i, i+1)
 		conn.idleFor = max(1, time.Since(conn.idleSince))
+		p.countIdle(conn, false)
 		return conn, endpoint.Addr, nil
 	}
 	if full := p.openConns >= p.maxConns; full || p.Memory.IsLow() {
@@ -73,20 +89,10 @@
 			return nil, "", errConnLimit
 		}
 	}
-	p.countConn(1)
+	p.openConns++
 	return nil, endpoint.Addr, nil
 }
 
-// countConn adds n, 1 or -1, to the open connections and to what they hold of the memory budget. The caller holds mu.
-func (p *Pool) countConn(n int) {
-	p.openConns += n
-	if n > 0 {
-		p.Memory.AddConn()
-	} else {
-		p.Memory.RemoveConn()
-	}
-}
-
 // pickIdle returns the index of the idle connection to use; below 0: none. It prefers the most recently used connection
 // among those that have been idle for settleTime. If there is none, it picks the most recently used connection, unless
 // unsolicited bytes were found within the last unsolicitedWindow. The caller holds mu.
@@ -143,6 +149,7 @@
 		p.discard(conn)
 		return
 	}
+	p.countIdle(conn, true)
 	p.idle[id] = append(p.idle[id], conn)
 }
 
@@ -185,7 +192,7 @@
 	clientConn, err := p.transport.NewClientConn(ctx, "http", addr)
 	if err != nil {
 		p.mu.Lock()
-		p.countConn(-1)
+		p.openConns--
 		p.mu.Unlock()
 		return nil, err
 	}
--- a/internal/agent/upstream/response.go
+++ b/internal/agent/upstream/response.go
@@ -122,7 +122,7 @@
 		return true
 	}
 	if size <= MaxBufferedBody {
-		resp.memory = p.Memory.TryReserve(membudget.Buffer, size)
+		resp.memory = p.Memory.TryReserve(membudget.Spare, size)
 	}
 	return resp.memory != nil
 }
