Register a successor within half a second, so that admin calls are answered in time

Cause: the admin listener is open before the process registers in the handover directory, which is retried for up to 1 s, and calls are served only after it.

Change: the registration is retried for 0.5 s before the process goes on; Run retries it after that, as it did.

The tests of the hot restart's records and deadlines passed with -race.

--- a/internal/agent/hotrestart/coordinator.go
+++ b/internal/agent/hotrestart/coordinator.go
@@ -21,8 +21,9 @@
 const (
 	pollInterval = 50 * time.Millisecond // between checks of what the other process has recorded
 	// A new process must be ready within 6 s of its start. Until then it may wait for its registration in the handover
-	// directory, for the older process's record and for an endpoint list.
-	registerTimeout = time.Second
+	// directory, for the older process's record and for an endpoint list. Admin calls that arrive meanwhile are answered
+	// after the registration, and are due within a second.
+	registerTimeout = 500 * time.Millisecond
 	startupTimeout  = 5 * time.Second // since the start of the process
 )
 
