Start the drain before serving if the stop came first

A client whose request waited in the accept queue of an agent that was stopped before it served could get an answer without "Connection: close", and lost its connection right after it.

Cause: Run starts to serve before drain makes replies close their connections, so the first answer may come between the two.

Change: if the stop is already due, the drain's deadline is set before the first connection is accepted.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -158,6 +158,9 @@
 		a.awaitEndpoints(stop)
 	}
 	a.frontend.accepting.Store(true)
+	if stop.Err() != nil {
+		a.startDrain() // the first replies already close their connections
+	}
 	served := make(chan error, 1)
 	go func() { served <- a.frontend.serve(a.listener) }()
 	a.announce(endpointCount)
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -24,10 +24,9 @@
 //
 // In a hot restart the successor shares the listening socket and accepts the new connections.
 func (a *Agent) drain(served <-chan error) {
-	a.log.Info("stopping")
-	f, startedAt, deadline := a.frontend, time.Now(), time.Now().Add(a.drainTimeout)
-	f.accepting.Store(false)
-	f.drainBy(deadline)
+	a.startDrain()
+	f, startedAt := a.frontend, time.Now()
+	deadline := f.loop.clock.time(time.Duration(f.drainDeadline.Load()))
 	acceptWindow, windowOver, idleGrace, firstRequestTimeout := a.acceptWindow(), false, time.Duration(0), time.Duration(-1)
 	if a.hotRestart != nil {
 		// A disconnected client could not connect to this process again, so each client may send one more request.
@@ -61,6 +60,16 @@
 	a.log.Info("stopped")
 }
 
+// startDrain makes each reply close its connection from now on. Only Run's goroutine calls it; calls after the first do nothing.
+func (a *Agent) startDrain() {
+	if a.frontend.drainDeadline.Load() != 0 {
+		return
+	}
+	a.log.Info("stopping")
+	a.frontend.accepting.Store(false)
+	a.frontend.drainBy(time.Now().Add(a.drainTimeout))
+}
+
 // closeListener closes the listener and waits until the server has stopped accepting. Closing resets the connections in the
 // kernel's accept queue, so the caller keeps the listener open while queued connections wait for a descriptor.
 func (a *Agent) closeListener(served <-chan error) {
