--- a/internal/fleet/hub/handshake.go
+++ b/internal/fleet/hub/handshake.go
@@ -94,9 +94,9 @@
 		a.writeLoop(func() bool { return s.evidence.quotaConfirmed(a.name, a.attachedAt, time.Now()) })
 	})
 	left, err := a.readLoop(s.loadReports)
+	s.countProtocolError(conn, err) // before the agent sees the end of its stream
 	a.close()
 	s.registry.detach(a, left, time.Now())
-	s.countProtocolError(conn, err)
 }
 
 // countProtocolError counts and logs a stream that ended because the agent violated the protocol. It ignores streams
