Read a test agent's attachment under its lock, and wait while there is none

TestDelayedEntriesAreNotUsed ended by a nil attachment once in 3 runs beside busy processes: the test read the client's field without its mutex, at a moment when the agent had no hub. The condition waits for an attachment now; what it asks of it, and for how long it waits, is as before. Why the agent lost its hub at that moment is not traced.

--- a/internal/fleet/hubclient/entries_test.go
+++ b/internal/fleet/hubclient/entries_test.go
@@ -23,7 +23,7 @@
 		c.AgeBounds = gossip.AgeBounds{gossip.FleetSize: 700 * time.Millisecond}
 	}, a)
 	waitFor(t, "an even quota", agent.hasQuota(1./10))
-	waitFor(t, "an echo of a state", func() bool { return agent.attachment.hasEchoedState() })
+	waitFor(t, "an echo of a state", agent.hasEchoedState)
 	proxy.fromHub.Store(delaying)
 	a.mu.Lock()
 	a.fleetSize.Dead = 5 // in frames that the proxy delays
--- a/internal/fleet/hubclient/failover_test.go
+++ b/internal/fleet/hubclient/failover_test.go
@@ -71,7 +71,7 @@
 			proxy := newCuttableProxy(t, a.addr)
 			agent := newTestAgent(t, func(c *Config) { c.Hubs[0].Addr = proxy.addr }, a, b)
 			waitFor(t, "attachment to a", agent.attachedTo("a"))
-			waitFor(t, "an echoed state", func() bool { return agent.attachment.hasEchoedState() })
+			waitFor(t, "an echoed state", agent.hasEchoedState)
 			cut(proxy)
 			waitFor(t, "attachment to b", agent.attachedTo("b"))
 		})
@@ -84,7 +84,7 @@
 	a, b := newFakeHub(t, "a"), newFakeHub(t, "b")
 	agent := newTestAgent(t, nil, a, b)
 	waitFor(t, "attachment to a", agent.attachedTo("a"))
-	waitFor(t, "an echoed state", func() bool { return agent.attachment.hasEchoedState() })
+	waitFor(t, "an echoed state", agent.hasEchoedState)
 	a.mu.Lock()
 	a.startedAt = a.startedAt.Add(1500 * time.Millisecond) // the clock in a's messages falls by 1.5 s, so that their transit appears 1.5 s longer
 	a.mu.Unlock()
--- a/internal/fleet/hubclient/testagent_test.go
+++ b/internal/fleet/hubclient/testagent_test.go
@@ -60,10 +60,17 @@
 	return func() bool { a.mu.Lock(); defer a.mu.Unlock(); return len(a.rtts) == 2 && a.rtts[1] == d }
 }
 
-func (a *attachment) hasEchoedState() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !a.echoedStateSentAt.IsZero()
+// hasEchoedState reports whether the agent is attached to a hub that has echoed a state.
+func (a *testAgent) hasEchoedState() bool {
+	a.Client.mu.Lock()
+	current := a.attachment
+	a.Client.mu.Unlock()
+	if current == nil {
+		return false
+	}
+	current.mu.Lock()
+	defer current.mu.Unlock()
+	return !current.echoedStateSentAt.IsZero()
 }
 
 // runTask runs task in a goroutine until the test ends. stop ends the task earlier, and waits until it has returned.
