Give each fake hub a loopback address of its own

Cause, by reading: between kill and start its port on 127.0.0.1 was free, and any outgoing connection or listener of the machine could take it. An address that only one hub uses keeps its port free. The package's tests passed with -race.

--- a/internal/fleet/hubclient/fakehub_test.go
+++ b/internal/fleet/hubclient/fakehub_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,11 +50,15 @@
 	seq              atomic.Uint64
 }
 
+// fakeHubCount gives each hub a loopback address of its own, so that its port stays free between kill and start.
+var fakeHubCount atomic.Uint32
+
 // newFakeHub starts a hub on a free port. It runs until the test ends.
 func newFakeHub(t *testing.T, name string) *fakeHub {
 	t.Helper()
 	h := &fakeHub{name: name, startedAt: time.Now(), events: make(chan string, 1000), conns: map[net.Conn]bool{}, rttMicros: 1000}
-	h.start(t, "127.0.0.1:0")
+	n := fakeHubCount.Add(1)
+	h.start(t, fmt.Sprintf("127.32.%d.%d:0", n>>8, n&0xff))
 	return h
 }
 
