--- a/internal/agent/clientupload.go
+++ b/internal/agent/clientupload.go
@@ -129,9 +129,8 @@
 
 // limitToDrain bounds a request whose body has not arrived by the end of the drain.
 func (u *uploadWait) limitToDrain(overdueTimer *time.Timer) {
-	if !u.arrived {
-		drainEnd := u.frontend.loop.clock.time(time.Duration(u.frontend.drainDeadline.Load()))
-		overdueTimer.Reset(time.Until(drainEnd))
+	if end, stopping := u.frontend.drainEnd(); stopping && !u.arrived {
+		overdueTimer.Reset(time.Until(end))
 	}
 }
 
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -26,7 +26,7 @@
 func (a *Agent) drain(served <-chan error) {
 	a.startDrain()
 	f, startedAt := a.frontend, time.Now()
-	deadline := f.loop.clock.time(time.Duration(f.drainDeadline.Load()))
+	deadline, _ := f.drainEnd()
 	acceptWindow, windowOver, idleGrace, firstRequestTimeout := a.acceptWindow(), false, time.Duration(0), time.Duration(-1)
 	if a.hotRestart != nil {
 		// A disconnected client could not connect to this process again, so each client may send one more request.
@@ -62,7 +62,7 @@
 
 // startDrain makes each reply close its connection from now on. Only Run's goroutine calls it; calls after the first do nothing.
 func (a *Agent) startDrain() {
-	if a.frontend.drainDeadline.Load() != 0 {
+	if _, started := a.frontend.drainEnd(); started {
 		return
 	}
 	a.log.Info("stopping")
@@ -99,6 +99,15 @@
 	close(f.drainStarted)
 }
 
+// drainEnd returns when all replies are due, if the agent is stopping.
+func (f *frontend) drainEnd() (end time.Time, stopping bool) {
+	at := time.Duration(f.drainDeadline.Load())
+	if at == 0 {
+		return time.Time{}, false
+	}
+	return f.loop.clock.time(at), true
+}
+
 // setLameDuck switches the lame duck state, in which the agent drains clients, on an operator's call.
 func (f *frontend) setLameDuck(on bool) { f.loop.lameDuck.Store(on) }
 
--- a/internal/agent/frontend.go
+++ b/internal/agent/frontend.go
@@ -87,60 +87,11 @@
 	f.maxOpen.Store(int64(limit))
 }
 
-type clientConnKey struct{}
-
-// clientConnOf returns the connection on which a request arrived, or nil if this frontend did not accept it.
-func clientConnOf(httpReq *http.Request) *clientconn.Conn {
-	c, _ := httpReq.Context().Value(clientConnKey{}).(*clientconn.Conn)
-	return c
-}
-
-// lastByteAt returns when a request's most recent byte arrived, or the current time if this frontend did not accept its
-// connection.
-func lastByteAt(httpReq *http.Request) time.Time {
-	if c := clientConnOf(httpReq); c != nil {
-		return c.LastByteAt()
-	}
-	return time.Now()
-}
-
 // serve accepts connections until the listener is closed. It always returns an error, as http.Server.Serve does.
 func (f *frontend) serve(l net.Listener) error {
 	return f.server.Serve(clientconn.Listener{Listener: l, Readers: &f.readers})
 }
 
-// trackConn counts open connections and updates the set of those that may be closed as idle.
-func (f *frontend) trackConn(c net.Conn, state http.ConnState) {
-	if c, ok := c.(*clientconn.Conn); ok && state == http.StateIdle {
-		c.MarkResponseComplete() // before Track adds it to the set
-	}
-	f.idleConns.Track(c, state)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		f.connCount++
-		f.loop.pool.Memory.Add(membudget.ConnMemory)
-	case http.StateClosed:
-		f.connCount--
-		f.loop.pool.Memory.Remove(membudget.ConnMemory)
-	}
-}
-
-// atCapacity reports whether more than maxOpen connections are open.
-func (f *frontend) atCapacity() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return int64(f.connCount) > f.maxOpen.Load()
-}
-
-// hasConnections reports whether any connection is open.
-func (f *frontend) hasConnections() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.connCount > 0
-}
-
 // ServeHTTP serves one request. The frontend uses no http.ServeMux, which would redirect paths that are not clean.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, httpReq *http.Request) {
 	if httpReq.ContentLength != 0 {
@@ -169,25 +120,34 @@
 		f.writeReply(w, httpReq, reply{})
 		return
 	}
-	// A request over the limits is rejected before it is executed.
+	if !f.admit(w, r) {
+		return
+	}
+	defer f.openRequests.Add(-1)
+	if r.upstream.Upload == nil {
+		f.serveBuffered(w, httpReq, r, client)
+	} else {
+		f.serveUpload(w, httpReq, r)
+	}
+}
+
+// admit counts an open request and reserves its memory, unless its body has done so. It rejects a request over the limits, before
+// any of it is executed, and returns false.
+func (f *frontend) admit(w http.ResponseWriter, r *request) bool {
 	if f.openRequests.Add(1) > f.maxOpen.Load() {
 		f.openRequests.Add(-1)
 		f.reject(w, 0)
-		return
+		return false
 	}
-	defer f.openRequests.Add(-1)
 	if r.memory == nil {
 		r.memory = f.loop.pool.Memory.TryReserve(membudget.Request, membudget.RequestMemory)
 	}
 	if r.memory == nil {
+		f.openRequests.Add(-1)
 		f.rejectForMemory(w)
-		return
-	}
-	if r.upstream.Upload == nil {
-		f.serveBuffered(w, httpReq, r, client)
-	} else {
-		f.serveUpload(w, httpReq, r)
+		return false
 	}
+	return true
 }
 
 // serveHealth answers a health check with status 200 if the agent has an endpoint list and is not draining, else with 503.
@@ -244,13 +204,6 @@
 	return f.bodyTimeout
 }
 
-// closeAfterReply makes the reply close its connection if too many connections are open or the agent is draining.
-func (f *frontend) closeAfterReply(w http.ResponseWriter) {
-	if f.atCapacity() || f.draining() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // awaitReply posts a request whose body is complete to the event loop and waits for the reply. It returns a failure if the
 // event loop stops first.
 func (f *frontend) awaitReply(httpReq *http.Request, r *request) reply {
@@ -284,10 +237,8 @@
 // by the end of its drain, because the platform kills the process soon after it.
 func (f *frontend) replyDeadline(lastByteAt time.Time, timeout time.Duration) time.Time {
 	deadline := lastByteAt.Add(timeout)
-	if drainDeadline := f.drainDeadline.Load(); drainDeadline != 0 {
-		if drainEnd := f.loop.clock.time(time.Duration(drainDeadline)); drainEnd.Before(deadline) {
-			return drainEnd
-		}
+	if end, stopping := f.drainEnd(); stopping && end.Before(deadline) {
+		return end
 	}
 	return deadline
 }
