Read a small chunked body without waiting for a stream's memory

Callers saw 503 for small requests with a chunked body beside large uploads: 5 in two plays of the memory test at 32 MB and 1,024 sockets, with a body of 5 bytes.

Cause: the length of a chunked body is not known, so memory was reserved for a stream, whose class is refused first, and the request waited behind the streams.

Change: up to 4 KiB of such a body are read before any memory is reserved, as for a body of a known length up to that size. Only a longer one waits for a stream's memory; what was read counts meanwhile.

Evidence: TestSmallChunkedBodyDoesNotWaitForMemory had no request within 30 s before; it and TestWaitForMemoryDoesNotMoveTheDeadline pass ten times with -race. The memory test sends a small chunked body beside its loads: red before, none refused after.

--- a/cmd/agent/memory_test.go
+++ b/cmd/agent/memory_test.go
@@ -252,14 +252,19 @@
 	}
 }
 
-// expectSmallRequestsServed sends requests without a body and with one of 20 kB in turn until ctx is done, all of which must be
-// answered with 200.
+// expectSmallRequestsServed sends requests without a body, with one of 20 kB and with a small chunked one in turn until ctx is done,
+// all of which must be answered with 200.
 func expectSmallRequestsServed(ctx context.Context, t *testing.T, d *agentProcess) {
 	post := memoryLoad{write: func(conn net.Conn) error {
 		_, err := fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nContent-Length: 20000\r\n\r\n%s",
 			requestCounter.Add(1), strings.Repeat("x", 20_000))
 		return err
 	}}
+	chunked := memoryLoad{write: func(conn net.Conn) error {
+		_, err := fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			requestCounter.Add(1))
+		return err
+	}}
 	for !doneWithin(ctx, 50*time.Millisecond) {
 		if status, err := get(singleUseClient, d.addr, "/get/x"); status != http.StatusOK {
 			t.Errorf("status %d, error %v for a request without a body beside the large ones, want 200", status, err)
@@ -267,6 +272,9 @@
 		if status, err := post.exchange(t.Context(), d.addr); status != http.StatusOK {
 			t.Errorf("status %d, error %v for a body of 20 kB beside the large ones, want 200", status, err)
 		}
+		if status, err := chunked.exchange(t.Context(), d.addr); status != http.StatusOK {
+			t.Errorf("status %d, error %v for a small chunked body beside the large ones, want 200", status, err)
+		}
 	}
 }
 
--- a/internal/agent/clientbody.go
+++ b/internal/agent/clientbody.go
@@ -3,6 +3,7 @@
 // Reads the body of a client's request.
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -67,8 +68,9 @@
 // errBodyDoesNotFit is the failure of a request whose body found no memory in time. Nothing of the request was executed.
 var errBodyDoesNotFit = &inputError{http.StatusServiceUnavailable, "no memory for the body"}
 
-// readBody reads the complete body if it has at most upstream.MaxBufferedBody bytes, and otherwise its first part. Nothing is
-// read until the body's memory is reserved. A body of unknown length that does not end within the first part is streamed too.
+// readBody reads the complete body if it has at most upstream.MaxBufferedBody bytes, and otherwise its first part. Nothing over
+// unreservedBody is read until the body's memory is reserved. A body of unknown length that does not end within the first part is
+// streamed too.
 func (f *frontend) readBody(w http.ResponseWriter, httpReq *http.Request, timeout time.Duration) (*clientBody, *inputError) {
 	length := httpReq.ContentLength
 	switch {
@@ -80,23 +82,52 @@
 	if client := clientConnOf(httpReq); client != nil && (length < 0 || length > upstream.MaxBufferedBody) {
 		upstream.LimitKernelBuffers(client.Conn)
 	}
+	reader := &minThroughputReader{source: httpReq.Body, control: http.NewResponseController(w),
+		allowance: f.bodyTimeLeft(httpReq), maxGap: f.maxBodyGap}
+	var first []byte
+	if length < 0 {
+		var err error
+		if first, err = readSmallBody(reader); err != nil {
+			return nil, bodyError(err)
+		}
+		if len(first) <= unreservedBody {
+			return completeBody(&clientBody{first: first}, reader)
+		}
+	}
 	waitStart := time.Now()
+	f.loop.pool.Memory.Add(int64(len(first))) // until the reservation contains it
 	memory, fits := f.reserveBody(httpReq, timeout)
+	f.loop.pool.Memory.Remove(int64(len(first)))
 	if !fits {
 		return nil, errBodyDoesNotFit
 	}
 	waited := time.Since(waitStart)
-	bodyReader := &minThroughputReader{source: httpReq.Body, control: http.NewResponseController(w),
-		allowance: f.bodyTimeLeft(httpReq), maxGap: f.maxBodyGap}
-	body, err := readFirstPart(bodyReader, length, memory)
-	if err == nil && !body.more { // an expired deadline looks like a disconnect
-		err = bodyReader.ClearDeadline()
-	}
+	reader.allowance -= waited
+	body, err := readFirstPart(reader, length, first, memory)
 	if err != nil {
 		memory.Release()
 		return nil, bodyError(err)
 	}
 	body.waited = waited
+	return completeBody(body, reader)
+}
+
+// readSmallBody reads a body of unknown length up to its end, or the first unreservedBody+1 bytes of a longer one.
+func readSmallBody(source io.Reader) ([]byte, error) {
+	buffer := bytes.NewBuffer(make([]byte, 0, unreservedBody+1+bytes.MinRead)) // large enough for ReadFrom not to allocate another
+	_, err := buffer.ReadFrom(io.LimitReader(source, unreservedBody+1))
+	return buffer.Bytes(), err
+}
+
+// completeBody returns a body after it, or its first part, has been read.
+func completeBody(body *clientBody, reader *minThroughputReader) (*clientBody, *inputError) {
+	if body.more {
+		return body, nil
+	}
+	if err := reader.ClearDeadline(); err != nil { // an expired deadline looks like a disconnect
+		body.memory.Release()
+		return nil, bodyError(err)
+	}
 	return body, nil
 }
 
@@ -117,8 +148,9 @@
 	return memory, memory != nil
 }
 
-// readFirstPart reads a body of length bytes (below 0: unknown) completely, or its first part if it has to be streamed.
-func readFirstPart(source io.Reader, length int64, memory *membudget.Reservation) (*clientBody, error) {
+// readFirstPart reads a body of length bytes (below 0: unknown) completely, or its first part if it has to be streamed. first has
+// been read already.
+func readFirstPart(source io.Reader, length int64, first []byte, memory *membudget.Reservation) (*clientBody, error) {
 	if length >= 0 && length <= upstream.MaxBufferedBody {
 		complete := make([]byte, length)
 		_, err := io.ReadFull(source, complete)
@@ -128,7 +160,8 @@
 	if memory.TryGrow(upstream.MaxBufferedBody) {
 		limit = upstream.MaxBufferedBody
 	}
-	first, err := io.ReadAll(io.LimitReader(source, limit+1))
+	rest, err := io.ReadAll(io.LimitReader(source, limit+1-int64(len(first))))
+	first = append(first, rest...)
 	return &clientBody{first: first, more: int64(len(first)) > limit, memory: memory}, err
 }
 
--- a/internal/agent/upload_test.go
+++ b/internal/agent/upload_test.go
@@ -258,6 +258,24 @@
 	}
 }
 
+// TestSmallChunkedBodyDoesNotWaitForMemory: a small body whose length the header does not give is served while large ones have all
+// memory. Guards against small requests that are refused beside large uploads.
+func TestSmallChunkedBodyDoesNotWaitForMemory(t *testing.T) {
+	f, dial, posts := startSocketFrontend(t)
+	for _, r := range holdMemory(f.loop.pool.Memory) {
+		defer r.Release()
+	}
+	c := dial()
+	writeText(t, c, postHeader("/pay/x", "Transfer-Encoding: chunked\r\n")+"5\r\nhello\r\n0\r\n\r\n")
+	r := nextEvent[requestArrived](t, posts)
+	if string(r.upstream.Body) != "hello" || r.upstream.Upload != nil {
+		t.Errorf("body %q, streamed %v; want hello, buffered", r.upstream.Body, r.upstream.Upload != nil)
+	}
+	r.reply <- reply{}
+	c.Close()
+	eventually(t, "the connection to end", f.noConnections)
+}
+
 // holdMemory reserves all memory that bodies may have.
 func holdMemory(memory *membudget.Budget) (held []*membudget.Reservation) {
 	const part = 1_000 // bytes, less than any body
