Bound the header of a response by the memory limit, like that of a request

With 32 MB and 1,024 sockets, answers of 60 kB with headers of 30 kB took the agent to 33,968 kB of 32,768 kB: the header of a response, of up to 32 KiB, was neither counted nor bounded by the limits. It was found by asking what else a request holds.

Change: a response's header may be as long as a request's, which follows from memory and descriptors (8 to 32 KiB). A longer one cannot be read, so its attempt fails, as one over 32 KiB did. So an agent with little memory for its descriptors no longer passes on responses with headers that it did pass on before: with 32 MB and 1,024 sockets those over 8 KiB.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -131,8 +131,8 @@
 
 // poolConfig returns the configuration of the pool of connections to backends.
 func (c *Config) poolConfig() upstream.Config {
-	return upstream.Config{MaxConns: maxUpstreamConns(c.shareableDescriptors()), Memory: c.memoryBytes(), DialFrom: c.DialFrom,
-		ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Site.IdleClose, LoadInline: c.Site.LoadInline,
+	return upstream.Config{MaxConns: maxUpstreamConns(c.shareableDescriptors()), Memory: c.memoryBytes(), MaxHeader: c.maxHeader(),
+		DialFrom: c.DialFrom, ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.Site.IdleClose, LoadInline: c.Site.LoadInline,
 		LoadProbed: c.Site.LoadProbed}
 }
 
--- a/internal/agent/descriptors.go
+++ b/internal/agent/descriptors.go
@@ -14,13 +14,14 @@
 	maxAdminConns        = 12   // concurrent admin calls, if there is an admin listener
 )
 
-// Bounds on a request's header, in bytes.
+// Bounds on the header of a request or a response, in bytes.
 const minHeader, maxHeader = 8 << 10, 32 << 10
 
 // headerShare is the part of the memory budget, as a divisor, that the headers of all client connections may take together.
 const headerShare = 4
 
-// maxHeader returns the longest header that a request may have, in bytes, so that the headers of all connections fit the memory.
+// maxHeader returns the longest header that a request or a response may have, in bytes, so that the headers of all connections fit
+// the memory.
 func (c *Config) maxHeader() int {
 	conns := int64(maxAcceptedConns(c.shareableDescriptors()))
 	return int(max(minHeader, min(maxHeader, membudget.Size(c.memoryBytes())/headerShare/conns)))
--- a/internal/agent/upstream/pool.go
+++ b/internal/agent/upstream/pool.go
@@ -30,9 +30,6 @@
 	unsolicitedWindow = reuseHalfLife // after the latest unsolicited byte
 )
 
-// maxResponseHeader bounds the header of a response, in bytes.
-const maxResponseHeader = 32 << 10
-
 // Pool owns the connections to all backends and makes attempts on them. Its methods may be called from any goroutine.
 type Pool struct {
 	cfg         Config
@@ -65,6 +62,7 @@
 type Config struct {
 	MaxConns       int           // connections that may be open at once
 	Memory         int64         // memory limit of the process in bytes; 0: none
+	MaxHeader      int           // longest header of a response in bytes; 0: that of package http
 	DialFrom       string        // local IP address for connections; "": the system chooses
 	ConnectTimeout time.Duration // bounds the opening of a connection, and a complete health check
 	IdleClose      time.Duration // idle time after which backends may close a connection
@@ -88,7 +86,7 @@
 		endpoints:   map[string]*Endpoint{}, disabled: map[string]bool{}, idle: map[string][]*pooledConn{}}
 	p.transport = &http.Transport{
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeader,
+		MaxResponseHeaderBytes: int64(cfg.MaxHeader),
 		// dial gets the tracked connection through the dialSlot in ctx.
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := p.DialContext(ctx, network, addr)
