Grant the smallest of the bodies that wait for memory first

Cause: calls of a class waited in the order of arrival. Behind some 300 bodies of 60 kB, each of which waits up to a quarter of its request's time, a small one came to the front only when its own time was nearly over.

Change: within a class, what needs the least is granted first, and calls of one size in the order of arrival. As small ones come first, none that would fit waits behind one that does not.

--- a/internal/agent/membudget/budget.go
+++ b/internal/agent/membudget/budget.go
@@ -9,7 +9,8 @@
 //   - Buffer: what a request with a buffered body needs.
 //   - Request: what a request with a small body, or none, needs. Refused last.
 //
-// Some requests of each class are admitted however little is left, so that none waits for the end of another class.
+// Some requests of each class are admitted however little is left, so that none waits for the end of another class. Within a
+// class, what needs the least is granted first.
 //
 // A Budget counts; it allocates nothing. All methods may be called from any goroutine.
 package membudget
@@ -76,7 +77,7 @@
 	size     int64
 	used     int64
 	admitted [classes]int       // reservations by class
-	waiting  [classes][]*waiter // by class, in the order of their calls
+	waiting  [classes][]*waiter // by class, in the order in which they are granted
 }
 
 // waiter is a call of Reserve that waits.
@@ -125,11 +126,11 @@
 	return !b.fits(Spare, 0)
 }
 
-// TryReserve reserves bytes, or returns nil if they do not fit or earlier calls wait for memory of the class.
+// TryReserve reserves bytes, or returns nil if they do not fit or earlier calls of the class wait for as much or less.
 func (b *Budget) TryReserve(class Class, bytes int64) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.waiting[class]) > 0 || !b.fits(class, bytes) {
+	if b.position(class, bytes) > 0 || !b.fits(class, bytes) {
 		return nil
 	}
 	r := &Reservation{budget: b, class: class}
@@ -137,15 +138,15 @@
 	return r
 }
 
-// Reserve reserves bytes, and waits until they fit, behind the calls of the class that wait already. It returns nil once ctx is
-// done.
+// Reserve reserves bytes, and waits until they fit, behind the calls of the class that wait already for as much or less. It
+// returns nil once ctx is done.
 func (b *Budget) Reserve(ctx context.Context, class Class, bytes int64) *Reservation {
 	if r := b.TryReserve(class, bytes); r != nil {
 		return r
 	}
 	w := &waiter{&Reservation{budget: b, class: class, bytes: bytes}, make(chan struct{})}
 	b.mu.Lock()
-	b.waiting[class] = append(b.waiting[class], w)
+	b.waiting[class] = slices.Insert(b.waiting[class], b.position(class, bytes), w)
 	b.grantWaiting()
 	b.mu.Unlock()
 	select {
@@ -159,6 +160,17 @@
 	return w.reservation
 }
 
+// position returns how many calls of a class wait that are granted before a new call for bytes. The caller holds mu.
+func (b *Budget) position(class Class, bytes int64) int {
+	before, _ := slices.BinarySearchFunc(b.waiting[class], bytes, func(w *waiter, bytes int64) int {
+		if w.reservation.bytes <= bytes {
+			return -1
+		}
+		return 1
+	})
+	return before
+}
+
 // cancel removes a waiting call, and reports false if it has been granted.
 func (b *Budget) cancel(w *waiter) bool {
 	b.mu.Lock()
