Keep a request's memory reserved until its last attempt has ended

An agent held 40,392 kB of its 32,768 kB where clients send bodies of 60 kB, leave after a second and send again, and backends hang: over the limit the platform kills it.

Cause: the frontend returned a request's memory when its handler ended. An attempt may outlast it: the module never cancels one, so after a client has left it goes on to its deadline, with the body, its connection and its goroutines. A second attempt at the same time, of a hedged request, was not counted at all.

Change: the handler and each attempt hold the reservation, which is returned by the last of them. An attempt that begins while another of its request is open counts AttemptMemory, whether it fits or not.

Evidence: the new load "abandoned requests" of TestMemoryStaysWithinItsLimit (32 MB, 1,024 descriptors), before 40,392 kB of 32,768, after 23,084. TestAbandonedRequestKeepsItsMemoryReserved, before: 0 bytes reserved while the attempt is open, want 74,576. TestConcurrentAttemptsAreCounted and TestSharedReservationIsReturnedByItsLastHolder are new with the functions that they call.

--- a/cmd/agent/memory_test.go
+++ b/cmd/agent/memory_test.go
@@ -50,6 +50,8 @@
 	write        func(conn net.Conn) error // writes one request
 	answerSize   int                       // bytes of the backend's response, which it sends at clientRate
 	answerHead   int                       // bytes of a header field of the response
+	answerDelay  time.Duration             // from the request's last byte to the response; small requests are not played beside it
+	leaveAfter   time.Duration             // from the request's last byte to the client's close; 0: the client reads the response
 	mayBeRefused bool                      // with some limits the requests or their responses are too large to be served
 	beside       *memoryLoad               // played at the same time by clients on a sixth of the descriptors; nil: nothing
 }
@@ -74,13 +76,23 @@
 	{name: "answers with long headers", write: postSlowly("Content-Length: 10", 10), answerSize: 60_000, answerHead: 30_000,
 		mayBeRefused: true},
 	longHeader,
+	{name: "abandoned requests", write: post("Content-Length: 60000", strings.Repeat("x", 60_000)), answerDelay: testTimeout,
+		leaveAfter: time.Second},
+}
+
+// post returns a function that writes a request with a body at once.
+func post(framing, body string) func(net.Conn) error {
+	return func(conn net.Conn) error {
+		_, err := fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nX-Expires-In: 3\r\n%s\r\n\r\n%s",
+			requestCounter.Add(1), framing, body)
+		return err
+	}
 }
 
 // postSlowly returns a function that writes a request with a body of the given size at clientRate.
 func postSlowly(framing string, size int) func(net.Conn) error {
 	return func(conn net.Conn) error {
-		if _, err := fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nX-Expires-In: 3\r\n%s\r\n\r\n",
-			requestCounter.Add(1), framing); err != nil {
+		if err := post(framing, "")(conn); err != nil {
 			return err
 		}
 		return writeSlowly(conn, size)
@@ -104,21 +116,22 @@
 	}
 }
 
-// startSlowBackends starts a backend that reads each request completely and answers it with a header field of head bytes and size
-// bytes at clientRate, and returns it as several endpoints.
-func startSlowBackends(t *testing.T, size, head int) (list []endpoint) {
+// startSlowBackends starts a backend that reads each request completely and answers it as the load says, the body at clientRate, and
+// returns it as several endpoints.
+func startSlowBackends(t *testing.T, load memoryLoad) (list []endpoint) {
 	t.Helper()
 	addr := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		answer := size
+		doneWithin(r.Context(), load.answerDelay)
+		answer := load.answerSize
 		if r.Method == http.MethodGet {
 			answer = 0
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(answer))
-		if head > 0 && answer > 0 {
-			w.Header().Set("X-Long", strings.Repeat("x", head))
+		if load.answerHead > 0 && answer > 0 {
+			w.Header().Set("X-Long", strings.Repeat("x", load.answerHead))
 		}
 		w.WriteHeader(http.StatusOK)
 		_ = writeSlowly(flushWriter{w}, answer) // fails if the agent closes the connection
@@ -177,6 +190,10 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	_ = l.write(conn) // the agent may refuse the request before its end
+	if l.leaveAfter > 0 {
+		doneWithin(ctx, l.leaveAfter)
+		return 0, nil
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, err
@@ -236,7 +253,7 @@
 
 // playMemoryLoad runs one agent under a load and checks its memory and its answers to small requests.
 func playMemoryLoad(t *testing.T, limits memoryLimits, load memoryLoad) {
-	d := startAgent(t, newFakeDiscovery(t, startSlowBackends(t, load.answerSize, load.answerHead)...).addr, faultinject.Plan{}, nil, "", limits.edit()...)
+	d := startAgent(t, newFakeDiscovery(t, startSlowBackends(t, load)...).addr, faultinject.Plan{}, nil, "", limits.edit()...)
 	awaitReady(t, d.addr)
 	ctx, cancel := context.WithTimeout(t.Context(), memoryTestTime)
 	defer cancel()
@@ -246,12 +263,12 @@
 	if load.beside != nil {
 		running.Go(func() { runClients(ctx, d.addr, *load.beside, limits.sockets/6) })
 	}
-	if load.answerSize == 0 { // else the large requests are small until they are answered
+	if load.answerSize == 0 && load.answerDelay == 0 { // else the large requests are small until they are answered
 		running.Go(func() { expectSmallRequestsServed(ctx, t, d) })
 	}
 	peak := peakMemory(ctx, func() []int { return []int{d.cmd.Process.Pid} })
 	running.Wait()
-	if served == 0 && !load.mayBeRefused {
+	if served == 0 && !load.mayBeRefused && load.leaveAfter == 0 {
 		t.Error("none of the large requests was served")
 	}
 	if t.Logf("peak %d kB, %d served", peak>>10, served); peak > int64(limits.memoryMB)<<20 {
@@ -307,7 +324,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	discovery, dir := newFakeDiscovery(t, startSlowBackends(t, 0, 0)...).addr, t.TempDir()
+	discovery, dir := newFakeDiscovery(t, startSlowBackends(t, load)...).addr, t.TempDir()
 	start := func() *agentProcess {
 		return startAgent(t, discovery, faultinject.Plan{}, ln, dir, limits.edit()...)
 	}
--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"martenbeam/balancer"
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 )
 
@@ -96,15 +97,35 @@
 	if !r.upstream.IsStreamed() || r.deadlineFinal {
 		timer.arm(deadline)
 	}
+	releaseMemory := l.reserveAttempt(r)
 	r.openAttempts++
 	l.counts.attempts++
 	endpoint, writeBy := l.pool.Endpoint(action.Backend), time.Time{}
 	if action.SendDeadline > 0 {
 		writeBy = l.clock.time(action.SendDeadline)
 	}
-	go l.runAttempt(ctx, r, index, timer, &upstream.Attempt{Cancel: cancel, RequestDone: r.done, Shutdown: l.stopped,
+	att := &upstream.Attempt{Cancel: cancel, RequestDone: r.done, Shutdown: l.stopped,
 		BackendID: action.Backend, Endpoint: endpoint, WriteBy: writeBy, ResidencyRule: r.residencyRule,
-		Request: r.upstream, Start: start, Deadline: deadline})
+		Request: r.upstream, Start: start, Deadline: deadline}
+	go func() {
+		defer releaseMemory()
+		l.runAttempt(ctx, r, index, timer, att)
+	}()
+}
+
+// reserveAttempt keeps the memory of a request reserved until the returned function is called: an attempt may last longer than its
+// request, whose client has its reply or has left. The request's reservation contains one attempt. The memory of another that is
+// open at the same time is counted whether it fits or not.
+func (l *eventLoop) reserveAttempt(r *request) (release func()) {
+	r.memory.Share()
+	if r.openAttempts == 0 {
+		return r.memory.Release
+	}
+	l.pool.Memory.Add(membudget.AttemptMemory)
+	return func() {
+		l.pool.Memory.Remove(membudget.AttemptMemory)
+		r.memory.Release()
+	}
 }
 
 // runAttempt makes the attempt and posts its events. It runs in the attempt's goroutine, so it reads only those fields of r
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 )
 
@@ -156,6 +157,25 @@
 	}
 }
 
+// TestAbandonedRequestKeepsItsMemoryReserved: the memory of a request stays reserved after its client has disconnected, until its
+// attempt ends. Guards against an agent that admits more than it has memory for, while backends hang and clients leave.
+func TestAbandonedRequestKeepsItsMemoryReserved(t *testing.T) {
+	const bodySize = 50_000
+	hold := make(chan struct{})
+	s := startRawBackend(t, func(int) string { <-hold; return ok200 })
+	a := startAgent(t, testConfig(t, testSetup{servers: []discoveryMember{s.member("s")}}))
+	c := dialRawClient(t, a)
+	c.send(postHeader("/pay/x", fmt.Sprintf("Content-Length: %d\r\n", bodySize)) + pattern(bodySize))
+	receive(t, "request", s.requestIDs)
+	c.Close()
+	eventually(t, "the connection to end", a.frontend.noConnections)
+	if used := a.pool.Memory.Used(); used < bodySize+membudget.RequestMemory {
+		t.Errorf("%d bytes reserved while the attempt is open, want its request's %d", used, bodySize+membudget.RequestMemory)
+	}
+	close(hold)
+	eventually(t, "the request's memory to be released", func() bool { return a.pool.Memory.Used() < bodySize })
+}
+
 // TestDuplicateOpenRequestIDIsConflict: a request whose id is in use gets 409, because the balancer's actions identify an
 // open request by its id.
 func TestDuplicateOpenRequestIDIsConflict(t *testing.T) {
--- a/internal/agent/eventloop_test.go
+++ b/internal/agent/eventloop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"martenbeam/balancer"
+	"martenbeam/internal/agent/membudget"
 	"martenbeam/internal/agent/upstream"
 )
 
@@ -80,3 +81,35 @@
 		}
 	})
 }
+
+// TestConcurrentAttemptsAreCounted: each further attempt that a request has open at the same time takes memory of its own, and the
+// request's memory is released with the last of them. Guards against hedged requests that take more memory than is counted.
+func TestConcurrentAttemptsAreCounted(t *testing.T) {
+	cfg := testConfig(t, testSetup{})
+	pool := upstream.New(cfg.poolConfig(), discardLog)
+	l, err := newEventLoop(cfg, newClock(), pool, discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRequest("1", 0)
+	r.memory = pool.Memory.TryReserve(membudget.Request, membudget.RequestMemory)
+	releaseFirst := l.reserveAttempt(r)
+	r.openAttempts++
+	releaseSecond := l.reserveAttempt(r)
+	steps := []struct {
+		what    string
+		release func()
+		want    int64 // bytes in use after release
+	}{
+		{"the second attempt began", func() {}, membudget.RequestMemory + membudget.AttemptMemory},
+		{"the handler ended", r.memory.Release, membudget.RequestMemory + membudget.AttemptMemory},
+		{"the first attempt ended", releaseFirst, membudget.RequestMemory + membudget.AttemptMemory},
+		{"the second attempt ended", releaseSecond, 0},
+	}
+	for _, step := range steps {
+		step.release()
+		if used := pool.Memory.Used(); used != step.want {
+			t.Errorf("%d bytes in use after %s, want %d", used, step.what, step.want)
+		}
+	}
+}
--- a/internal/agent/membudget/budget.go
+++ b/internal/agent/membudget/budget.go
@@ -49,6 +49,9 @@
 	// RequestMemory is what an open request holds besides its client's connection and its body: the goroutines of its handler
 	// and its attempt, the connection to its backend, its header, and the smallest buffers for its response.
 	RequestMemory = 24 << 10
+	// AttemptMemory is what an attempt holds that a request makes while another is open: its goroutine, its copy of the header,
+	// and the connection to its backend.
+	AttemptMemory = 20 << 10
 
 	// baseMemory is what the process holds without clients. A process leaves as much for a successor, whose connections
 	// to clients come before its own have ended.
@@ -195,7 +198,7 @@
 
 // grant counts a reservation of bytes. The caller holds mu.
 func (b *Budget) grant(r *Reservation, bytes int64) {
-	r.bytes = bytes
+	r.bytes, r.holders = bytes, 1
 	b.used += bytes
 	b.admitted[r.class]++
 }
@@ -218,10 +221,10 @@
 
 // Reservation is a part of a budget. A nil Reservation holds nothing. The budget's mu guards its fields but budget and class.
 type Reservation struct {
-	budget   *Budget
-	class    Class
-	bytes    int64
-	released bool
+	budget  *Budget
+	class   Class
+	bytes   int64
+	holders int // 0: released
 }
 
 // TryGrow adds spare memory to the reservation, and reports whether there was enough.
@@ -236,17 +239,31 @@
 	return true
 }
 
-// Release returns the reservation to its budget. Calls after the first do nothing.
+// Share adds a holder, who has to call Release too. A holder calls it, before its own Release.
+func (r *Reservation) Share() {
+	if r == nil {
+		return
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if r.holders > 0 {
+		r.holders++
+	}
+}
+
+// Release returns the reservation to its budget once each holder has called it. Calls after that do nothing.
 func (r *Reservation) Release() {
 	if r == nil {
 		return
 	}
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
-	if r.released {
+	if r.holders == 0 {
+		return
+	}
+	if r.holders--; r.holders > 0 {
 		return
 	}
-	r.released = true
 	r.budget.used -= r.bytes
 	r.budget.admitted[r.class]--
 	r.budget.grantWaiting()
--- a/internal/agent/membudget/budget_test.go
+++ b/internal/agent/membudget/budget_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// A reservation is returned once its last holder has released it, and can't be shared after that.
+func TestSharedReservationIsReturnedByItsLastHolder(t *testing.T) {
+	b := New(64 * mib)
+	r := b.TryReserve(Request, RequestMemory)
+	r.Share()
+	if r.Release(); b.Used() != RequestMemory {
+		t.Errorf("%d bytes in use after one of two holders released them, want %d", b.Used(), RequestMemory)
+	}
+	r.Release()
+	r.Share()
+	r.Release()
+	(*Reservation)(nil).Share()
+	if b.Used() != 0 || b.admitted != [classes]int{} {
+		t.Errorf("%d bytes and %v reservations counted after the last release, want none", b.Used(), b.admitted)
+	}
+}
+
 // For every limit that a configuration may state, the budget stays well below it. A lower limit refuses until memory is
 // released; without a limit everything fits.
 func TestSizeFollowsTheMemoryLimit(t *testing.T) {
--- a/internal/agent/openrequest.go
+++ b/internal/agent/openrequest.go
@@ -16,7 +16,7 @@
 	id            string
 	class         int
 	upstream      *upstream.Request
-	memory        *membudget.Reservation // for the request with its body; nil: none yet
+	memory        *membudget.Reservation // for the request with its body, held by its handler and its attempts; nil: none yet
 	deadline      time.Time              // of the client, counted from the request's last byte that has arrived
 	timeout       time.Duration          // from the request's last byte to the deadline
 	sizeHint      time.Duration          // expected work, from X-Size-Hint; 0: unknown
