Drop entries that a process had begun to read before it was stopped

TestRealHubs was red once: a census was used 4.36 s old, bound 3 s, beside a hub that is paused for 4 s.

Cause: Store.Entries reads the clock, checks the ages, and then traces and returns the entries. A process that is stopped in between goes on with entries whose ages were checked before the stop. The trace line took its time only when it was written, after the stop.

Change: Entries looks at the clock once more before it returns, and drops all after a stop; the trace has the time of the check. The lab's report names the process that used an entry past its bound, and the age by that process's own clock.

TestProcessStoppedWhileItReadsEntriesDropsThem, before: 2 entries after a stop as long as their bound.

--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -14,6 +14,32 @@
 
 var shortBounds = AgeBounds{ListServiceLoad: 2 * time.Second, LatencyRow: time.Second}
 
+// A process that is stopped while it reads its entries does not use them after the stop: their ages were checked before it. Guards
+// against an entry that is used past its bound by the length of the stop.
+func TestProcessStoppedWhileItReadsEntriesDropsThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stop := func() {}
+		store := New("a", 1, shortBounds, func(u Use) {
+			if !u.Published {
+				stop()
+			}
+		})
+		for _, subject := range []string{"x", "y"} {
+			store.Publish(ListServiceLoad, subject, nil)
+		}
+		if n := len(store.Entries(ListServiceLoad)); n != 2 {
+			t.Fatalf("got %d entries before the stop, want 2", n)
+		}
+		stop = func() { time.Sleep(shortBounds[ListServiceLoad]) }
+		if list := store.Entries(ListServiceLoad); list != nil {
+			t.Errorf("got %d entries after a stop as long as their bound, want none", len(list))
+		}
+		if stops := store.Stats().Stops; stops != 1 {
+			t.Errorf("got %d stops, want 1", stops)
+		}
+	})
+}
+
 // A process that was stopped neither uses nor sends its entries from before the stop, and sends nothing before it has
 // received a message.
 func TestStoppedProcessDropsItsEntries(t *testing.T) {
--- a/internal/fleet/gossip/store.go
+++ b/internal/fleet/gossip/store.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"martenbeam/internal/bootclock"
 )
 
 // TickInterval is the interval at which Tick has to be called.
@@ -238,11 +240,11 @@
 
 // Entries returns the entries of a kind that are within their age bound, sorted by subject and observer, each with its
 // present age. Each one counts as used, in the statistics and in the trace. Bodies are shared and must not be changed. For
-// resumeDelay after a stop Entries returns nil.
+// resumeDelay after a stop Entries returns nil, also if the process was stopped in the course of the call.
 func (s *Store) Entries(kind Kind) (list []Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	at, now := bootclock.SinceBoot(), time.Now()
 	if !s.checkActive(now) {
 		return nil
 	}
@@ -258,9 +260,12 @@
 			s.useAges[kind] = ages
 		}
 		_ = ages.RecordValue(max(1, entry.Age.Milliseconds())) // cannot fail: the age is below its bound and so within the range
-		s.trace(Use{Entry: stored.Entry, AgeAtUse: entry.Age})
+		s.trace(Use{Entry: stored.Entry, AgeAtUse: entry.Age, At: at})
 		list = append(list, entry)
 	}
+	if !s.checkActive(time.Now()) {
+		return nil
+	}
 	return list
 }
 
--- a/internal/fleet/gossip/trace.go
+++ b/internal/fleet/gossip/trace.go
@@ -27,8 +27,12 @@
 	if u.Published {
 		event = "tell"
 	}
-	t.Line(map[string]any{"what": event, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
-		"incarnation": u.Incarnation, "seq": u.Seq, "age": u.AgeAtUse.Microseconds()})
+	line := map[string]any{"what": event, "kind": u.Kind.String(), "observer": u.Observer, "subject": u.Subject,
+		"incarnation": u.Incarnation, "seq": u.Seq, "age": u.AgeAtUse.Microseconds()}
+	if u.At == 0 {
+		u.At = bootclock.SinceBoot()
+	}
+	t.write(line, u.At)
 }
 
 // Line adds the time to a line and writes it. The line must consist of strings, numbers and maps of these. Write errors are
@@ -37,7 +41,12 @@
 	if t.W == nil {
 		return
 	}
-	line["at"] = bootclock.SinceBoot().Microseconds()
+	t.write(line, bootclock.SinceBoot())
+}
+
+// write writes a line with the time of its event since the machine's start.
+func (t Trace) write(line map[string]any, at time.Duration) {
+	line["at"] = at.Microseconds()
 	data, err := json.Marshal(line)
 	if err != nil {
 		panic(err) // a line consists of strings and numbers, which always encode
@@ -52,4 +61,5 @@
 	Entry
 	Published bool          // this process published the entry; false: it used it
 	AgeAtUse  time.Duration // age when it was used or published
+	At        time.Duration // when AgeAtUse was determined, since the machine's start; 0: when the line is written
 }
--- a/internal/lab/sharedreport.go
+++ b/internal/lab/sharedreport.go
@@ -122,6 +122,8 @@
 	Age         int64              `json:"age"`
 	Quota       *float64           `json:"part"`
 	Matrix      map[string]float64 `json:"matrix"`
+
+	user string // the process whose trace has the line
 }
 
 type quotaAt struct {
@@ -202,6 +204,7 @@
 		case x.What == "tell":
 			all.publishedAt[x.entryName()] = x.At - x.Age // an aggregate is as old as its oldest input
 		case x.What == "use":
+			x.user = filepath.Base(p.dir)
 			all.uses = append(all.uses, x)
 		}
 	}
@@ -225,7 +228,8 @@
 		r.Used[x.Kind]++
 		if age > entryAgeBounds[x.Kind]+ageSlack {
 			if r.PastBound++; r.First == "" {
-				r.First = fmt.Sprintf("%s was used %v old, bound %v", x.entryName(), age, entryAgeBounds[x.Kind])
+				r.First = fmt.Sprintf("%s was used by %s %v old (%v by its own clock), bound %v", x.entryName(), x.user, age,
+					time.Duration(x.Age)*time.Microsecond, entryAgeBounds[x.Kind])
 			}
 		}
 	}
