--- a/cmd/agent/memory_test.go
+++ b/cmd/agent/memory_test.go
@@ -3,14 +3,11 @@
 // The memory of an agent whose clients hold a third of its descriptors with requests that take much of it.
 
 import (
-	"bufio"
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,186 +20,9 @@
 
 var memoryFull = flag.Bool("memory.full", false, "play the memory tests with more limits")
 
-// clientRate is the rate at which slow clients and backends send and read, in bytes per second.
-const clientRate = 64_000
-
 // anonymousMemory returns the resident anonymous memory of a process in bytes: the program's file is not counted.
 func anonymousMemory(pid int) (int64, error) { return processStatus(pid, "RssAnon") }
 
-// writeSlowly writes size bytes at clientRate.
-func writeSlowly(w io.Writer, size int) error {
-	const interval = 50 * time.Millisecond
-	part := make([]byte, clientRate*interval/time.Second)
-	for next := time.Now(); size > 0; time.Sleep(time.Until(next)) {
-		n, err := w.Write(part[:min(size, len(part))])
-		if err != nil {
-			return err
-		}
-		size -= n
-		next = next.Add(interval)
-	}
-	return nil
-}
-
-// memoryLoad is a kind of request that makes the agent hold memory.
-type memoryLoad struct {
-	name         string
-	write        func(conn net.Conn) error // writes one request
-	answerSize   int                       // bytes of the backend's response, which it sends at clientRate
-	answerHead   int                       // bytes of a header field of the response
-	answerDelay  time.Duration             // from the request's last byte to the response; small requests are not played beside it
-	leaveAfter   time.Duration             // from the request's last byte to the client's close; 0: the client reads the response
-	mayBeRefused bool                      // with some limits the requests or their responses are too large to be served
-	beside       *memoryLoad               // played at the same time by clients on a sixth of the descriptors; nil: nothing
-}
-
-// longHeader is a peer without a proper request, which may connect beside the clients.
-var longHeader = memoryLoad{name: "headers", mayBeRefused: true, write: func(conn net.Conn) error {
-	if _, err := io.WriteString(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Long: "+strings.Repeat("x", 30_000)); err != nil {
-		return err
-	}
-	time.Sleep(2 * time.Second) // as long as a client may take for its header
-	_, err := io.WriteString(conn, "\r\n\r\n")
-	return err
-}}
-
-// memoryLoads are the largest bodies, answers and headers that clients send slowly.
-var memoryLoads = []memoryLoad{
-	{name: "buffered bodies", write: postSlowly("Content-Length: 60000", 60_000)},
-	{name: "streamed bodies", write: postSlowly("Content-Length: 300000", 300_000), beside: &longHeader},
-	{name: "chunked bodies", write: postChunkSlowly(300_000)},
-	{name: "buffered answers", write: postSlowly("Content-Length: 10", 10), answerSize: 60_000},
-	{name: "streamed answers", write: postSlowly("Content-Length: 10", 10), answerSize: 300_000},
-	{name: "answers with long headers", write: postSlowly("Content-Length: 10", 10), answerSize: 60_000, answerHead: 30_000,
-		mayBeRefused: true},
-	longHeader,
-	{name: "abandoned requests", write: post("Content-Length: 60000", strings.Repeat("x", 60_000)), answerDelay: testTimeout,
-		leaveAfter: time.Second},
-}
-
-// post returns a function that writes a request with a body at once.
-func post(framing, body string) func(net.Conn) error {
-	return func(conn net.Conn) error {
-		_, err := fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nX-Expires-In: 3\r\n%s\r\n\r\n%s",
-			requestCounter.Add(1), framing, body)
-		return err
-	}
-}
-
-// postSlowly returns a function that writes a request with a body of the given size at clientRate.
-func postSlowly(framing string, size int) func(net.Conn) error {
-	return func(conn net.Conn) error {
-		if err := post(framing, "")(conn); err != nil {
-			return err
-		}
-		return writeSlowly(conn, size)
-	}
-}
-
-// postChunkSlowly returns a function that writes a request with a body of one chunk of the given size at clientRate.
-func postChunkSlowly(size int) func(net.Conn) error {
-	return func(conn net.Conn) error {
-		if err := postSlowly("Transfer-Encoding: chunked", 0)(conn); err != nil {
-			return err
-		}
-		if _, err := fmt.Fprintf(conn, "%x\r\n", size); err != nil {
-			return err
-		}
-		if err := writeSlowly(conn, size); err != nil {
-			return err
-		}
-		_, err := io.WriteString(conn, "\r\n0\r\n\r\n")
-		return err
-	}
-}
-
-// startSlowBackends starts a backend that reads each request completely and answers it as the load says, the body at clientRate, and
-// returns it as several endpoints.
-func startSlowBackends(t *testing.T, load memoryLoad) (list []endpoint) {
-	t.Helper()
-	addr := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		doneWithin(r.Context(), load.answerDelay)
-		answer := load.answerSize
-		if r.Method == http.MethodGet {
-			answer = 0
-		}
-		w.Header().Set("Content-Length", strconv.Itoa(answer))
-		if load.answerHead > 0 && answer > 0 {
-			w.Header().Set("X-Long", strings.Repeat("x", load.answerHead))
-		}
-		w.WriteHeader(http.StatusOK)
-		_ = writeSlowly(flushWriter{w}, answer) // fails if the agent closes the connection
-	})
-	for i := range 10 {
-		list = append(list, newEndpoint(fmt.Sprint("s", i), addr, "ready"))
-	}
-	return list
-}
-
-// flushWriter sends each write at once.
-type flushWriter struct{ http.ResponseWriter }
-
-func (f flushWriter) Write(p []byte) (int, error) {
-	n, err := f.ResponseWriter.Write(p)
-	if err != nil {
-		return n, err
-	}
-	return n, http.NewResponseController(f.ResponseWriter).Flush()
-}
-
-// runClients holds count connections of slow clients until ctx is done, and returns how many requests were answered with 200.
-func runClients(ctx context.Context, addr string, load memoryLoad, count int) (served int64) {
-	var answered atomic.Int64
-	var clients sync.WaitGroup
-	const startInterval = 5 * time.Millisecond // clients do not begin together
-	for i := range count {
-		clients.Go(func() {
-			for delay := time.Duration(i) * startInterval; !doneWithin(ctx, delay); delay = 0 {
-				if status, err := load.exchange(ctx, addr); err == nil && status == http.StatusOK {
-					answered.Add(1)
-				}
-			}
-		})
-	}
-	clients.Wait()
-	return answered.Load()
-}
-
-// doneWithin waits for ctx for up to the given time, and reports whether it is done.
-func doneWithin(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-	return ctx.Err() != nil
-}
-
-// exchange sends one request on a new connection and reads its answer. It is given up once ctx is done.
-func (l memoryLoad) exchange(ctx context.Context, addr string) (status int, err error) {
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	_ = conn.SetDeadline(time.Now().Add(testTimeout))
-	_ = l.write(conn) // the agent may refuse the request before its end
-	if l.leaveAfter > 0 {
-		doneWithin(ctx, l.leaveAfter)
-		return 0, nil
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
-}
-
 // peakMemory samples the memory of processes together until ctx is done, and returns its peak in bytes.
 func peakMemory(ctx context.Context, pids func() []int) (peak int64) {
 	for !doneWithin(ctx, 10*time.Millisecond) {
@@ -279,7 +99,7 @@
 // expectSmallRequestsServed sends requests without a body, with one of 20 kB and with a small chunked one in turn until ctx is done,
 // all of which must be answered with 200.
 func expectSmallRequestsServed(ctx context.Context, t *testing.T, d *agentProcess) {
-	post := memoryLoad{write: func(conn net.Conn) error {
+	withBody := memoryLoad{write: func(conn net.Conn) error {
 		_, err := fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nContent-Length: 20000\r\n\r\n%s",
 			requestCounter.Add(1), strings.Repeat("x", 20_000))
 		return err
@@ -293,7 +113,7 @@
 		if status, err := get(singleUseClient, d.addr, "/get/x"); status != http.StatusOK {
 			t.Errorf("status %d, error %v for a request without a body beside the large ones, want 200", status, err)
 		}
-		if status, err := post.exchange(t.Context(), d.addr); status != http.StatusOK {
+		if status, err := withBody.exchange(t.Context(), d.addr); status != http.StatusOK {
 			t.Errorf("status %d, error %v for a body of 20 kB beside the large ones, want 200", status, err)
 		}
 		if status, err := chunked.exchange(t.Context(), d.addr); status != http.StatusOK {
--- a/internal/agent/membudget/budget.go
+++ b/internal/agent/membudget/budget.go
@@ -16,9 +16,7 @@
 package membudget
 
 import (
-	"context"
 	"math"
-	"slices"
 	"sync"
 )
 
@@ -83,12 +81,6 @@
 	waiting  [classes][]*waiter // by class, in the order in which they are granted
 }
 
-// waiter is a call of Reserve that waits.
-type waiter struct {
-	reservation *Reservation
-	granted     chan struct{} // closed once the reservation is counted
-}
-
 // New returns the budget of a process with a memory limit in bytes; 0: no limit.
 func New(memory int64) *Budget { return &Budget{size: Size(memory)} }
 
@@ -141,53 +133,6 @@
 	return r
 }
 
-// Reserve reserves bytes, and waits until they fit, behind the calls of the class that wait already for as much or less. It
-// returns nil once ctx is done.
-func (b *Budget) Reserve(ctx context.Context, class Class, bytes int64) *Reservation {
-	if r := b.TryReserve(class, bytes); r != nil {
-		return r
-	}
-	w := &waiter{&Reservation{budget: b, class: class, bytes: bytes}, make(chan struct{})}
-	b.mu.Lock()
-	b.waiting[class] = slices.Insert(b.waiting[class], b.position(class, bytes), w)
-	b.grantWaiting()
-	b.mu.Unlock()
-	select {
-	case <-w.granted:
-		return w.reservation
-	case <-ctx.Done():
-	}
-	if b.cancel(w) {
-		return nil
-	}
-	return w.reservation
-}
-
-// position returns how many calls of a class wait that are granted before a new call for bytes. The caller holds mu.
-func (b *Budget) position(class Class, bytes int64) int {
-	before, _ := slices.BinarySearchFunc(b.waiting[class], bytes, func(w *waiter, bytes int64) int {
-		if w.reservation.bytes <= bytes {
-			return -1
-		}
-		return 1
-	})
-	return before
-}
-
-// cancel removes a waiting call, and reports false if it has been granted.
-func (b *Budget) cancel(w *waiter) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	class := w.reservation.class
-	i := slices.Index(b.waiting[class], w)
-	if i < 0 {
-		return false
-	}
-	b.waiting[class] = slices.Delete(b.waiting[class], i, i+1)
-	b.grantWaiting() // it may have been the first
-	return true
-}
-
 // fits reports whether a reservation may be granted. The caller holds mu.
 func (b *Budget) fits(class Class, bytes int64) bool {
 	if b.admitted[class] < minAdmitted[class] {
@@ -202,69 +147,3 @@
 	b.used += bytes
 	b.admitted[r.class]++
 }
-
-// grantWaiting grants the calls that wait, the class that is refused last first. Of each class it grants calls in their order,
-// until one does not fit. The caller holds mu.
-func (b *Budget) grantWaiting() {
-	for class := Request; class >= Spare; class-- {
-		for len(b.waiting[class]) > 0 {
-			first := b.waiting[class][0]
-			if !b.fits(class, first.reservation.bytes) {
-				break
-			}
-			b.waiting[class] = b.waiting[class][1:]
-			b.grant(first.reservation, first.reservation.bytes)
-			close(first.granted)
-		}
-	}
-}
-
-// Reservation is a part of a budget. A nil Reservation holds nothing. The budget's mu guards its fields but budget and class.
-type Reservation struct {
-	budget  *Budget
-	class   Class
-	bytes   int64
-	holders int // 0: released
-}
-
-// TryGrow adds spare memory to the reservation, and reports whether there was enough.
-func (r *Reservation) TryGrow(bytes int64) bool {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	if !r.budget.fits(Spare, bytes) {
-		return false
-	}
-	r.bytes += bytes
-	r.budget.used += bytes
-	return true
-}
-
-// Share adds a holder, who has to call Release too. A holder calls it, before its own Release.
-func (r *Reservation) Share() {
-	if r == nil {
-		return
-	}
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	if r.holders > 0 {
-		r.holders++
-	}
-}
-
-// Release returns the reservation to its budget once each holder has called it. Calls after that do nothing.
-func (r *Reservation) Release() {
-	if r == nil {
-		return
-	}
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	if r.holders == 0 {
-		return
-	}
-	if r.holders--; r.holders > 0 {
-		return
-	}
-	r.budget.used -= r.bytes
-	r.budget.admitted[r.class]--
-	r.budget.grantWaiting()
-}
