Send the fake agent's late attempt whatever time its client has left

The mode that sends after the answer does so 300 ms later, when the deadline, some 400 ms at the least, may be over on a slow machine: the attempt would not be made, and the checker has nothing to find. The late attempt has a second of its own now.

--- a/internal/lab/fakeagent_test.go
+++ b/internal/lab/fakeagent_test.go
@@ -272,7 +272,10 @@
 	case a.mode == "reads-and-closes" && faulty:
 		panic(http.ErrAbortHandler)
 	case a.mode == "sends-after-the-end" && faulty:
-		time.AfterFunc(300*time.Millisecond, func() { send(s, id, body) })
+		time.AfterFunc(300*time.Millisecond, func() {
+			deadline = time.Now().Add(time.Second) // the client's may be over
+			send(s, id, body)
+		})
 	case a.mode == "repeats-in-pod" && faulty && r.Header.Get("Idempotency-Key") != "":
 		status, text = send(s, id, body)
 	case a.mode == "leaks-on-repeat" && faulty:
