Drop an idle connection's references to its last request

Cause: trackedConn kept the function that checks, before the first byte, whether the backend may still be sent to. It refers to the attempt, and so to the request with its body, until the connection's next request. The body's memory had been returned to the budget. With many backends there are some 200 idle connections, each with the body of its last request; with ten backends, as in the test until now, they are few.

Change: awaitIdle, after which a connection is idle, drops both functions of the request.

TestIdleConnectionHoldsNothingOfItsLastRequest, before: the body was not collected within 30 s.

--- a/internal/agent/upstream/memory_test.go
+++ b/internal/agent/upstream/memory_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"martenbeam/balancer"
 )
@@ -60,3 +63,26 @@
 		}
 	}
 }
+
+// An idle connection keeps nothing of its last request in memory. Guards against an agent with many backends that holds a body for
+// each idle connection, although the body's memory has been returned to the budget.
+func TestIdleConnectionHoldsNothingOfItsLastRequest(t *testing.T) {
+	ln := listen(t)
+	go func() { _ = http.Serve(ln, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})) }() // until ln is closed
+	pool := poolWithBackend(t, ln.Addr().String())
+	defer pool.Close()
+	var body weak.Pointer[byte]
+	func() {
+		buffer := make([]byte, MaxBufferedBody)
+		body = weak.Make(&buffer[0])
+		request := &Request{Method: http.MethodPost, URL: &url.URL{Path: "/put/x"}, Header: http.Header{}, Body: buffer}
+		att := &Attempt{BackendID: "s", Start: time.Now(), Request: request}
+		if result, _, _ := pool.Execute(t.Context(), att); result != balancer.OK {
+			t.Fatalf("result %v, want %v", result, balancer.OK)
+		}
+	}()
+	if idle := pool.Stats().Idle; idle != 1 {
+		t.Fatalf("%d idle connections, want 1", idle)
+	}
+	eventually(t, "the body to be collected", func() bool { runtime.GC(); return body.Value() == nil })
+}
--- a/internal/agent/upstream/trackedconn.go
+++ b/internal/agent/upstream/trackedconn.go
@@ -213,14 +213,14 @@
 
 // awaitIdle waits until net/http reads again after a complete response, or has closed the connection. net/http closes a
 // reusable connection if bytes arrived beyond the end of the response. After awaitIdle, bytes are unsolicited until the
-// next request.
+// next request, and the connection refers to nothing of the last one.
 func (c *trackedConn) awaitIdle(reusable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.reading && !c.closed {
 		c.stateChanged.Wait()
 	}
-	c.requestStarted = false
+	c.requestStarted, c.checkSendable, c.lastByteNext = false, nil, nil
 	c.unsolicited = c.unsolicited || reusable && c.closed && !c.remoteClosed
 }
 
