--- a/review/standin2/case_told.go
+++ b/review/standin2/case_told.go
@@ -41,21 +41,21 @@
 worth = 8.0
 `
 
-// playTold plays sixteen agents of a fleet whose lists are asked for. Discovery's process dies, and is back 20 s later with a list in
+// playTold plays thirty-two agents of a fleet whose lists are asked for. Discovery's process dies, and is back 20 s later with a list in
 // which one backend drains. That counts as told 6 s after the return; 0.55 s later no request may begin at that backend.
 func playTold(r *run) error {
-	const agents, outage = 16, 20 * time.Second
+	const agents, outage = 32, 20 * time.Second
 	const toldAfter, grace = 6 * time.Second, 550 * time.Millisecond
-	var forbiddenFrom atomic.Int64 // Unix nanoseconds; 0: not yet
+	var forbiddenFrom atomic.Int64 // nanoseconds since the start of the run; 0: not yet
 	var toDrained, served atomic.Int32
 	handle := func(in received) answer {
 		r.note("backend %s runs %s", in.backend.id, in.id)
 		served.Add(1)
 		if in.backend.id == "s-00" {
 			toDrained.Add(1)
-			if from := forbiddenFrom.Load(); from > 0 && in.at.UnixNano() > from {
+			if from, at := time.Duration(forbiddenFrom.Load()), in.at.Sub(r.startedAt); from > 0 && at > from {
 				r.breakRule("request %s was sent to the draining backend %s %.2f s after the change counts as told and the grace", in.id, in.backend.id,
-					float64(in.at.UnixNano()-from)/1e9)
+					(at - from).Seconds())
 			}
 		}
 		return answer{work: 30 * time.Millisecond, body: "done " + in.id}
@@ -137,7 +137,7 @@
 		}
 		r.note("discovery is back")
 	}
-	forbiddenFrom.Store(time.Now().Add(toldAfter + grace).UnixNano())
+	forbiddenFrom.Store(int64(time.Since(r.startedAt) + toldAfter + grace))
 	time.Sleep(toldAfter + grace + 12*time.Second)
 	close(stop)
 	running.Wait()
